Add tickets, the ledger, service attempts and calls that run once

Cause: a call that may not be repeated must reach a service at most once per ticket, and a caller must only be told 'not run' when that is true.

Ruled out: classifying failed attempts by the kind of their error (a timeout may come before or after the write); keeping unused tickets past their expiry (they can no longer start, so their absence already proves it); saying 'not run' when the owner cannot be reached (the ticket may have run through another host before, so this is unknown with the remedy to repeat the same ticket); handing the MAC key to holders of closed ledgers (a hash of each text that ran is enough: any other text never ran).

--- /dev/null
+++ b/coord/ledger/closed.go
@@ -0,0 +1,175 @@
+package ledger
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/coord/ledger/ledgerpb"
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/coord/ticket"
+)
+
+// Closed is the read-only content of a frozen ledger. It holds only tickets
+// whose call may have run. The owner's key is not part of it: a ticket's text
+// is recognised by its hash, and a text that the ledger does not hold never
+// ran, whether it was issued and left unused or made up by someone else. It is
+// safe for concurrent use.
+type Closed struct {
+	owner     identity.Incarnation
+	horizon   time.Time // owner's time of the freeze
+	retention time.Duration
+	life      time.Duration // how much longer the ledger has to be kept
+	entries   map[uint64]closedEntry
+	size      int
+}
+
+type closedEntry struct {
+	Expiry time.Time
+	Sum    ticket.Sum
+	Digest Digest
+	Record Record
+}
+
+// Owner is the process whose ledger this was.
+func (c *Closed) Owner() identity.Incarnation { return c.owner }
+
+// Len is the number of tickets in it.
+func (c *Closed) Len() int { return len(c.entries) }
+
+// Size is its accounted size in bytes.
+func (c *Closed) Size() int { return c.size }
+
+// Lookup returns the record of the ticket's call. It fails with *ClosedError
+// when the ticket never ran, with *ForgottenError when it is older than the
+// ledger's memory, with *MismatchError when it ran another call, and with
+// *UnknownTicketError when the text was altered.
+func (c *Closed) Lookup(text string, digest Digest) (Record, error) {
+	t, err := ticket.Parse(text)
+	if err != nil {
+		return Record{}, err
+	}
+	if t.Owner != c.owner {
+		return Record{}, &ticket.OtherOwnerError{Owner: t.Owner}
+	}
+	e, ok := c.entries[t.Seq]
+	if !ok && !c.horizon.Before(t.Expiry.Add(c.retention)) {
+		return Record{}, &ForgottenError{Expiry: t.Expiry}
+	}
+	if !ok {
+		return Record{}, &ClosedError{}
+	}
+	if e.Sum != ticket.SumOf(text) {
+		return Record{}, &UnknownTicketError{}
+	}
+	if e.Digest != digest {
+		return Record{}, &MismatchError{}
+	}
+	return e.Record, nil
+}
+
+// Life is how much longer the ledger has to be kept: until every ticket that
+// was valid at the freeze is past its expiry and the retention.
+func (c *Closed) Life() time.Duration { return c.life }
+
+// withLife returns the same ledger with another remaining life.
+func (c *Closed) withLife(life time.Duration) *Closed {
+	aged := *c
+	aged.life = life
+	return &aged
+}
+
+func (c *Closed) measure() int {
+	total := EntryOverheadBytes
+	for _, e := range c.entries {
+		total += EntryOverheadBytes + e.Record.answerBytes()
+	}
+	return total
+}
+
+// MarshalBinary encodes the closed ledger as a ledgerpb.ClosedLedger.
+func (c *Closed) MarshalBinary() ([]byte, error) {
+	m := &ledgerpb.ClosedLedger{
+		Host:        c.owner.Host,
+		Start:       c.owner.Start,
+		HorizonMs:   c.horizon.UnixMilli(),
+		RetentionMs: c.retention.Milliseconds(),
+		LifeMs:      c.life.Milliseconds(),
+		Entries:     make([]*ledgerpb.Entry, 0, len(c.entries)),
+	}
+	for seq, e := range c.entries {
+		m.Entries = append(m.Entries, encodeEntry(seq, e))
+	}
+	return proto.Marshal(m)
+}
+
+// UnmarshalClosed decodes what MarshalBinary returned.
+func UnmarshalClosed(data []byte) (*Closed, error) {
+	var m ledgerpb.ClosedLedger
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, fmt.Errorf("closed ledger cannot be decoded; ask another holder: %w", err)
+	}
+	c := &Closed{
+		owner:     identity.Incarnation{Host: m.GetHost(), Start: m.GetStart()},
+		horizon:   time.UnixMilli(m.GetHorizonMs()),
+		retention: time.Duration(m.GetRetentionMs()) * time.Millisecond,
+		life:      time.Duration(m.GetLifeMs()) * time.Millisecond,
+		entries:   make(map[uint64]closedEntry, len(m.GetEntries())),
+	}
+	for _, pe := range m.GetEntries() {
+		e, err := decodeEntry(pe)
+		if err != nil {
+			return nil, err
+		}
+		c.entries[pe.GetSeq()] = e
+	}
+	c.size = c.measure()
+	return c, nil
+}
+
+func encodeEntry(seq uint64, e closedEntry) *ledgerpb.Entry {
+	r := e.Record
+	pe := &ledgerpb.Entry{
+		Seq:       seq,
+		ExpiryMs:  e.Expiry.UnixMilli(),
+		Sum:       e.Sum[:],
+		Digest:    e.Digest[:],
+		Outcome:   uint32(r.Outcome),
+		Status:    int32(r.Status),
+		Body:      r.Body,
+		BodyBytes: int64(r.BodyBytes),
+		Dropped:   r.Dropped,
+	}
+	if r.Dropped {
+		pe.BodySum = r.BodySum[:]
+	}
+	for _, f := range r.Header {
+		pe.Header = append(pe.Header, &ledgerpb.Field{Name: f.Name, Value: f.Value})
+	}
+	return pe
+}
+
+func decodeEntry(pe *ledgerpb.Entry) (closedEntry, error) {
+	if len(pe.GetSum()) != len(ticket.Sum{}) || len(pe.GetDigest()) != len(Digest{}) || pe.GetOutcome() > uint32(outcome.Failed) {
+		return closedEntry{}, fmt.Errorf("closed ledger has a damaged entry %d; ask another holder", pe.GetSeq())
+	}
+	e := closedEntry{
+		Expiry: time.UnixMilli(pe.GetExpiryMs()),
+		Sum:    ticket.Sum(pe.GetSum()),
+		Digest: Digest(pe.GetDigest()),
+		Record: Record{
+			Outcome:   outcome.Outcome(pe.GetOutcome()),
+			Status:    int(pe.GetStatus()),
+			Body:      pe.GetBody(),
+			BodyBytes: int(pe.GetBodyBytes()),
+			Dropped:   pe.GetDropped(),
+		},
+	}
+	copy(e.Record.BodySum[:], pe.GetBodySum())
+	for _, f := range pe.GetHeader() {
+		e.Record.Header = append(e.Record.Header, Field{Name: f.GetName(), Value: f.GetValue()})
+	}
+	return e, nil
+}
--- /dev/null
+++ b/coord/ledger/ledger.go
@@ -0,0 +1,296 @@
+// Package ledger keeps the record of one process's tickets in bounded memory.
+//
+// A place, and room for the largest answer that is kept, is reserved when a
+// ticket is issued. A full ledger therefore refuses new tickets, and never
+// forgets an old one early: a ticket that ran is remembered until its expiry
+// plus the retention, and one that did not run is dropped at its expiry, when
+// it can no longer start. So the absence of an entry before expiry plus
+// retention proves that the ticket never ran.
+//
+// A frozen ledger starts nothing any more. Its content is a Closed ledger that
+// any number of other processes may hold and answer from.
+package ledger
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/coord/outcome"
+)
+
+// Accounted sizes, in bytes.
+const (
+	// EntryOverheadBytes is charged for each entry besides its answer.
+	EntryOverheadBytes = 512
+	fieldOverheadBytes = 32
+)
+
+// Config bounds a ledger.
+type Config struct {
+	MaxEntries     int
+	MaxBytes       int           // over all entries, with reserved answers
+	MaxAnswerBytes int           // header and body of one recorded answer
+	Retention      time.Duration // how long after its expiry a ticket that ran is remembered
+	Shards         int
+}
+
+// DefaultConfig returns bounds for one entry host.
+func DefaultConfig() Config {
+	return Config{
+		MaxEntries:     50_000,
+		MaxBytes:       64 << 20,
+		MaxAnswerBytes: 16 << 10,
+		Retention:      10 * time.Minute,
+		Shards:         32,
+	}
+}
+
+// Ledger is the owner's record of its tickets. It is safe for concurrent use.
+type Ledger struct {
+	owner  identity.Incarnation
+	clk    clock.Clock
+	cfg    Config
+	shards []shard
+	usage  usage
+	claims atomic.Int64
+	sealed atomic.Bool
+	idle   chan struct{}
+	idled  atomic.Bool
+}
+
+// Stats counts a ledger's content and its refusals.
+type Stats struct {
+	Entries    int64
+	Bytes      int64
+	Claims     int64 // calls between Begin and Finish or Release
+	Refused    int64 // reservations refused for lack of room
+	Mismatches int64
+	Replays    int64 // answers given from the record
+}
+
+// New returns an empty ledger of owner's tickets. The clock should not go
+// backwards (see clock.Steady) and must be the one that the tickets expire on.
+func New(owner identity.Incarnation, clk clock.Clock, cfg Config) *Ledger {
+	l := &Ledger{
+		owner:  owner,
+		clk:    clk,
+		cfg:    cfg,
+		shards: make([]shard, max(1, cfg.Shards)),
+		idle:   make(chan struct{}),
+	}
+	for i := range l.shards {
+		l.shards[i].entries = make(map[uint64]*entry)
+	}
+	return l
+}
+
+// Owner is the process whose tickets the ledger records.
+func (l *Ledger) Owner() identity.Incarnation { return l.owner }
+
+// Reserve takes a place for a new ticket. It fails with *FullError, or with
+// *ClosedError after Seal; the ticket must then not be handed out.
+func (l *Ledger) Reserve(key Key) error {
+	if l.sealed.Load() {
+		return &ClosedError{}
+	}
+	size := EntryOverheadBytes + l.cfg.MaxAnswerBytes
+	if !l.usage.take(size, l.cfg) {
+		l.Sweep()
+		if !l.usage.take(size, l.cfg) {
+			l.usage.refused.Add(1)
+			return &FullError{Entries: l.cfg.MaxEntries, Bytes: l.cfg.MaxBytes}
+		}
+	}
+	s := l.shard(key.Seq)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sweep(l)
+	s.add(key, size)
+	return nil
+}
+
+// Begin claims the ticket for one run of the call with the given digest. With
+// First the caller must end the claim by Finish or Release. With Recorded the
+// record is returned. Begin fails with *MismatchError, *ExpiredError,
+// *ForgottenError or *ClosedError. The key must have been verified.
+func (l *Ledger) Begin(key Key, digest Digest) (Verdict, Record, error) {
+	s := l.shard(key.Seq)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.sweep(l)
+	e, ok := s.entries[key.Seq]
+	if !ok {
+		return 0, Record{}, s.absent(key, now, l.cfg.Retention)
+	}
+	if e.bound && e.digest != digest {
+		l.usage.mismatches.Add(1)
+		return 0, Record{}, &MismatchError{}
+	}
+	switch e.state {
+	case StateClaimed, StateStarted:
+		return Running, Record{}, nil
+	case StateFinished:
+		l.usage.replays.Add(1)
+		return Recorded, *e.record, nil
+	default:
+		if s.sealed {
+			return 0, Record{}, &ClosedError{}
+		}
+		if !now.Before(e.expiry) {
+			return 0, Record{}, &ExpiredError{Expiry: e.expiry}
+		}
+		e.bound, e.digest = true, digest
+		e.state = StateClaimed
+		l.claims.Add(1)
+		return First, Record{}, nil
+	}
+}
+
+// MarkStarted records that the claimed call may reach a target from now on. It
+// must be called before the first byte is sent. When it fails with a
+// *StateError, because the ledger was frozen meanwhile, nothing may be sent.
+func (l *Ledger) MarkStarted(seq uint64) error {
+	s := l.shard(seq)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[seq]
+	if !ok || s.frozen || !e.claimed() {
+		return &StateError{Seq: seq, Have: e.stateOrAbsent(), Want: StateClaimed}
+	}
+	e.state = StateStarted
+	return nil
+}
+
+// Unstart records that no attempt of the claim ran so far. The claim stays, so
+// that another attempt may be made.
+func (l *Ledger) Unstart(seq uint64) error {
+	s := l.shard(seq)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[seq]
+	if !ok || !e.claimed() {
+		return &StateError{Seq: seq, Have: e.stateOrAbsent(), Want: StateStarted}
+	}
+	e.state = StateClaimed
+	return nil
+}
+
+// Release ends a claim whose call certainly did not run. The ticket may be
+// used again for the same call.
+func (l *Ledger) Release(seq uint64) error {
+	return l.end(seq, func(e *entry) { e.state = StateIssued })
+}
+
+// Finish ends a claim and records how the call ended. An answer above the
+// ledger's bound is recorded without its body (see Record). Room that the
+// answer does not need is given back.
+func (l *Ledger) Finish(seq uint64, r Record) error {
+	kept := r.bounded(l.cfg.MaxAnswerBytes)
+	return l.end(seq, func(e *entry) {
+		size := EntryOverheadBytes + kept.answerBytes()
+		l.usage.bytes.Add(int64(size - e.size))
+		e.size = size
+		e.record = &kept
+		e.state = StateFinished
+	})
+}
+
+// end applies the last transition of a claim.
+func (l *Ledger) end(seq uint64, apply func(*entry)) error {
+	s := l.shard(seq)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[seq]
+	if !ok || !e.claimed() {
+		return &StateError{Seq: seq, Have: e.stateOrAbsent(), Want: StateStarted}
+	}
+	apply(e)
+	if l.claims.Add(-1) == 0 && l.sealed.Load() {
+		l.signalIdle()
+	}
+	return nil
+}
+
+// Sweep drops what is past its time, in all shards.
+func (l *Ledger) Sweep() {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		s.sweep(l)
+		s.mu.Unlock()
+	}
+}
+
+// Stats returns the current counts.
+func (l *Ledger) Stats() Stats {
+	return Stats{
+		Entries:    l.usage.entries.Load(),
+		Bytes:      l.usage.bytes.Load(),
+		Claims:     l.claims.Load(),
+		Refused:    l.usage.refused.Load(),
+		Mismatches: l.usage.mismatches.Load(),
+		Replays:    l.usage.replays.Load(),
+	}
+}
+
+// Seal starts no more calls and issues no more places. Claims that exist may
+// go on. The returned channel is closed when no claim is left.
+func (l *Ledger) Seal() <-chan struct{} {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		s.sealed = true
+		s.mu.Unlock()
+	}
+	l.sealed.Store(true)
+	if l.claims.Load() == 0 {
+		l.signalIdle()
+	}
+	return l.idle
+}
+
+// Freeze seals the ledger and returns its content. Claims that did not start
+// can no longer do so and count as not run; those that started and did not
+// finish are recorded as unknown in the result.
+func (l *Ledger) Freeze() *Closed {
+	l.Seal()
+	c := &Closed{owner: l.owner, retention: l.cfg.Retention, entries: make(map[uint64]closedEntry)}
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		s.frozen = true
+		if now := s.sweep(l); now.After(c.horizon) {
+			c.horizon = now
+		}
+		s.copyRan(c)
+		s.mu.Unlock()
+	}
+	c.size = c.measure()
+	return c
+}
+
+func (l *Ledger) signalIdle() {
+	if l.idled.CompareAndSwap(false, true) {
+		close(l.idle)
+	}
+}
+
+func (l *Ledger) shard(seq uint64) *shard {
+	return &l.shards[seq%uint64(len(l.shards))]
+}
+
+// claimed reports whether a run of the entry's call is going on.
+func (e *entry) claimed() bool { return e.state == StateClaimed || e.state == StateStarted }
+
+// ran reports whether the entry's call may have reached a target.
+func (e *entry) ran() bool { return e.state == StateStarted || e.state == StateFinished }
+
+// recordOrUnknown is what a closed ledger says of an entry that ran.
+func (e *entry) recordOrUnknown() Record {
+	if e.record != nil {
+		return *e.record
+	}
+	return Record{Outcome: outcome.Unknown}
+}
--- /dev/null
+++ b/coord/ticket/ticket.go
@@ -0,0 +1,100 @@
+// Package ticket issues and checks tickets: opaque strings that name the one
+// process that may run a call. A ticket holds its owner's incarnation, a
+// sequence number and an expiry, and ends in an HMAC-SHA256 (RFC 2104) that is
+// truncated to 128 bits. The key is random per Issuer and never leaves it, so
+// only the owner can verify a ticket; everyone can read whom it names.
+package ticket
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/identity"
+)
+
+// Sizes of a ticket's parts, in bytes.
+const (
+	macBytes      = 16
+	sumBytes      = 16
+	fixedBytes    = 1 + 1 + 8 + 8 + 8 // version, host length, start id, sequence, expiry
+	maxHostBytes  = 255
+	maxTicketText = (fixedBytes + maxHostBytes + macBytes + 2) / 3 * 4
+	formatVersion = 1
+)
+
+// encoding refuses padding and non-zero trailing bits, so that every ticket
+// has exactly one text.
+var encoding = base64.RawURLEncoding.Strict()
+
+// Ticket is what a ticket's text says.
+type Ticket struct {
+	Owner  identity.Incarnation
+	Seq    uint64
+	Expiry time.Time // in the owner's time, rounded to milliseconds
+}
+
+// Sum identifies the text of a ticket. It does not allow anyone to make one.
+type Sum [sumBytes]byte
+
+// SumOf returns the first 128 bits of the text's SHA-256.
+func SumOf(text string) Sum {
+	full := sha256.Sum256([]byte(text))
+	return Sum(full[:sumBytes])
+}
+
+// ParseOwner returns the owner that the text names, without checking the MAC.
+// It fails with a *MalformedError.
+func ParseOwner(text string) (identity.Incarnation, error) {
+	t, err := Parse(text)
+	return t.Owner, err
+}
+
+// Parse reads a ticket without checking the MAC: nothing in the result can be
+// trusted. It fails with a *MalformedError.
+func Parse(text string) (Ticket, error) {
+	t, _, _, err := decode(text)
+	return t, err
+}
+
+// appendPayload encodes everything that the MAC protects.
+func appendPayload(b []byte, t Ticket) []byte {
+	b = append(b, formatVersion, byte(len(t.Owner.Host)))
+	b = append(b, t.Owner.Host...)
+	b = binary.BigEndian.AppendUint64(b, t.Owner.Start)
+	b = binary.BigEndian.AppendUint64(b, t.Seq)
+	return binary.BigEndian.AppendUint64(b, uint64(t.Expiry.UnixMilli()))
+}
+
+// decode splits a text into the ticket, the protected payload and the MAC.
+func decode(text string) (t Ticket, payload, mac []byte, err error) {
+	if len(text) > maxTicketText {
+		return t, nil, nil, &MalformedError{Reason: "too long"}
+	}
+	raw, err := encoding.DecodeString(text)
+	if err != nil {
+		return t, nil, nil, &MalformedError{Reason: "not base64url"}
+	}
+	if len(raw) < fixedBytes+macBytes {
+		return t, nil, nil, &MalformedError{Reason: "too short"}
+	}
+	if raw[0] != formatVersion {
+		return t, nil, nil, &MalformedError{Reason: "unknown version"}
+	}
+	hostBytes := int(raw[1])
+	if hostBytes == 0 || len(raw) != fixedBytes+hostBytes+macBytes {
+		return t, nil, nil, &MalformedError{Reason: "wrong length"}
+	}
+	payload, mac = raw[:len(raw)-macBytes], raw[len(raw)-macBytes:]
+	numbers := payload[2+hostBytes:]
+	t = Ticket{
+		Owner: identity.Incarnation{
+			Host:  string(payload[2 : 2+hostBytes]),
+			Start: binary.BigEndian.Uint64(numbers),
+		},
+		Seq:    binary.BigEndian.Uint64(numbers[8:]),
+		Expiry: time.UnixMilli(int64(binary.BigEndian.Uint64(numbers[16:]))),
+	}
+	return t, payload, mac, nil
+}
--- /dev/null
+++ b/internal/once/router.go
@@ -0,0 +1,95 @@
+package once
+
+import (
+	"context"
+	"errors"
+
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/coord/ledger"
+	"github.com/plantainrun/plantainrun/coord/ticket"
+	"github.com/plantainrun/plantainrun/internal/apierror"
+)
+
+// Router brings calls to the owners of their tickets. It is safe for
+// concurrent use.
+type Router struct {
+	owner   *Owner
+	closed  ClosedLedgers
+	forward Forwarder
+}
+
+// NewRouter returns the Router of the host that owner runs on.
+func NewRouter(owner *Owner, closed ClosedLedgers, forward Forwarder) *Router {
+	return &Router{owner: owner, closed: closed, forward: forward}
+}
+
+// Execute runs the call at its ticket's owner, or returns what is known of it.
+// A call without a ticket, or with one that is not valid, is not run; its
+// error carries a fresh ticket.
+func (r *Router) Execute(ctx context.Context, call Call) (Answer, error) {
+	if call.Ticket == "" {
+		return Answer{}, r.withTicket(apierror.NotRun(apierror.KindTicketRequired,
+			"send the call again with the ticket in "+HeaderTicket, "a call that may not be repeated needs a ticket"))
+	}
+	owner, err := ticket.ParseOwner(call.Ticket)
+	if err != nil {
+		return Answer{}, r.withTicket(ticketError(err))
+	}
+	answer, err := r.route(ctx, owner, call)
+	var e *apierror.Error
+	if errors.As(err, &e) && e.Kind == apierror.KindTicketInvalid {
+		return Answer{}, r.withTicket(e)
+	}
+	return answer, err
+}
+
+func (r *Router) route(ctx context.Context, owner identity.Incarnation, call Call) (Answer, error) {
+	if owner == r.owner.Self() {
+		return r.owner.Execute(ctx, call)
+	}
+	if c, ok := r.closed.Find(owner); ok {
+		return fromClosed(c, call)
+	}
+	answer, err := r.forward.Forward(ctx, owner, call)
+	var known *apierror.Error
+	if err == nil || errors.As(err, &known) {
+		return answer, err
+	}
+	return r.withoutOwner(ctx, owner, call, err)
+}
+
+// withoutOwner answers when the owner gave no answer. An owner that cannot be
+// reached may have run the ticket's call before, so that nothing but unknown
+// can be said, even when this call was never sent.
+func (r *Router) withoutOwner(ctx context.Context, owner identity.Incarnation, call Call, err error) (Answer, error) {
+	if c, ok := r.closed.Find(owner); ok {
+		return fromClosed(c, call)
+	}
+	if c, ok := r.closed.Fetch(ctx, owner); ok {
+		return fromClosed(c, call)
+	}
+	var lost *LostError
+	if errors.As(err, &lost) && lost.Gone {
+		return Answer{}, goneError()
+	}
+	return Answer{}, unreachableError(err)
+}
+
+// fromClosed answers from a closed ledger, which never runs anything.
+func fromClosed(c *ledger.Closed, call Call) (Answer, error) {
+	record, err := c.Lookup(call.Ticket, call.digest())
+	if err != nil {
+		return Answer{}, ticketError(err)
+	}
+	return replay(record)
+}
+
+// withTicket attaches a fresh ticket. Without one to give, the reason for that
+// is the error.
+func (r *Router) withTicket(e *apierror.Error) *apierror.Error {
+	text, err := r.owner.NewTicket()
+	if err != nil {
+		return apierror.From(err)
+	}
+	return e.WithTicket(text)
+}
--- /dev/null
+++ b/internal/service/exchange.go
@@ -0,0 +1,134 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/internal/engineapi"
+)
+
+// Errors of answers that cannot be used.
+var (
+	errCrossed  = errors.New("the answer does not echo the request's id")
+	errTooLarge = errors.New("the answer is above the bound")
+	errUnframed = errors.New("the answer says neither its length nor where it ends")
+)
+
+// exchange sends the request and reads the whole answer.
+func (c *Client) exchange(ctx context.Context, via httpc.Service, addr netip.AddrPort, call Call) Result {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), addr, call)
+	if err != nil {
+		return Result{Outcome: outcome.NotRun, Reason: ReasonDial, Err: err}
+	}
+	resp, err := via.DoRequest(req)
+	if err != nil && !connected.Load() && call.Idempotent {
+		return Result{Outcome: outcome.NotRun, Reason: reasonOf(ctx, ReasonDial), Err: err}
+	}
+	if err != nil {
+		return Result{Outcome: outcome.Unknown, Reason: reasonOf(ctx, ReasonCut), Err: err}
+	}
+	defer resp.Body.Close()
+	return c.readAnswer(ctx, resp, call.ID)
+}
+
+// newRequest builds the request. It has no GetBody, so that the transport can
+// never send the body twice.
+func newRequest(ctx context.Context, addr netip.AddrPort, call Call) (*http.Request, error) {
+	url := "http://" + addr.String() + call.Path
+	req, err := http.NewRequestWithContext(ctx, call.Method, url, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	if call.Header != nil {
+		req.Header = call.Header.Clone()
+	}
+	req.Header.Set(engineapi.HeaderRequestID, call.ID)
+	if len(call.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(call.Body))
+		req.ContentLength = int64(len(call.Body))
+		req.GetBody = nil
+	}
+	return req, nil
+}
+
+// readAnswer reads the answer and decides what it proves.
+func (c *Client) readAnswer(ctx context.Context, resp *http.Response, id string) Result {
+	r := Result{
+		Outcome: outcome.Unknown,
+		Status:  resp.StatusCode,
+		Header:  resp.Header,
+		Leaving: resp.Header.Get(engineapi.HeaderLeaving) == "1",
+	}
+	if resp.Header.Get(engineapi.HeaderRequestID) != id {
+		r.Reason, r.Err = ReasonCrossed, errCrossed
+		return r
+	}
+	if resp.Header.Get(engineapi.HeaderNotRun) == "1" {
+		r.Outcome, r.Reason = outcome.NotRun, ReasonRefused
+		r.Err = fmt.Errorf("the target refused with status %d", resp.StatusCode)
+		return r
+	}
+	body, err := c.readBody(resp)
+	switch {
+	case errors.Is(err, errTooLarge):
+		r.Reason, r.Err = ReasonTooLarge, err
+	case err != nil:
+		r.Reason, r.Err = reasonOf(ctx, ReasonCut), err
+	default:
+		r.Body = body
+		r.Outcome = outcomeOf(resp.StatusCode)
+	}
+	return r
+}
+
+// readBody reads the whole body up to the client's bound.
+func (c *Client) readBody(resp *http.Response) ([]byte, error) {
+	if !framed(resp) {
+		return nil, errUnframed
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.cfg.MaxAnswerBytes)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > c.cfg.MaxAnswerBytes {
+		return nil, errTooLarge
+	}
+	return body, nil
+}
+
+// framed reports whether the end of the body can be told from a connection
+// that broke: by a length, by chunks, or because there is no body.
+func framed(resp *http.Response) bool {
+	if resp.Request != nil && resp.Request.Method == http.MethodHead {
+		return true
+	}
+	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+}
+
+func outcomeOf(status int) outcome.Outcome {
+	if status >= http.StatusInternalServerError {
+		return outcome.Failed
+	}
+	return outcome.Done
+}
+
+// reasonOf prefers the deadline as the reason when the time ran out.
+func reasonOf(ctx context.Context, other Reason) Reason {
+	if ctx.Err() != nil {
+		return ReasonDeadline
+	}
+	return other
+}
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,114 @@
+package service_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/internal/service"
+	standin "github.com/plantainrun/plantainrun/internal/standin/service"
+)
+
+func TestMain(m *testing.M) {
+	logx.Disable()
+	m.Run()
+}
+
+func start(t *testing.T) (*standin.Service, netip.AddrPort) {
+	t.Helper()
+	s, addr, stop, err := standin.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return s, addr
+}
+
+func deposit(id string) service.Call {
+	return service.Call{ID: id, Method: "POST", Path: "/deposits", Body: []byte("100 yen")}
+}
+
+func TestOutcomeOfEachFault(t *testing.T) {
+	cases := []struct {
+		fault  standin.Fault
+		want   outcome.Outcome
+		reason service.Reason
+		runs   int
+	}{
+		{standin.FaultNone, outcome.Done, service.ReasonNone, 1},
+		{standin.FaultRefuse, outcome.NotRun, service.ReasonRefused, 0},
+		{standin.FaultLeave, outcome.NotRun, service.ReasonRefused, 0},
+		{standin.FaultDrop, outcome.Unknown, service.ReasonCut, 1},
+		{standin.FaultCrossed, outcome.Unknown, service.ReasonCrossed, 1},
+		{standin.FaultCut, outcome.Unknown, service.ReasonCut, 1},
+		{standin.FaultUnframed, outcome.Unknown, service.ReasonCut, 1},
+		{standin.FaultLong, outcome.Unknown, service.ReasonTooLarge, 1},
+		{standin.FaultSilent, outcome.Unknown, service.ReasonDeadline, 0},
+		{standin.FaultFailed, outcome.Failed, service.ReasonNone, 1},
+	}
+	for _, c := range cases {
+		t.Run(string(c.fault), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s, addr := start(t)
+			s.Set(standin.Control{Fault: c.fault})
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			cfg := service.DefaultConfig()
+			cfg.MaxAnswerBytes = standin.LongBodyBytes - 1
+			r := service.New(cfg).Do(ctx, addr, deposit("r1"))
+			g.Expect(r.Outcome).To(gomega.Equal(c.want), "%v", r.Err)
+			g.Expect(r.Reason).To(gomega.Equal(c.reason), "%v", r.Err)
+			g.Expect(r.Leaving).To(gomega.Equal(c.fault == standin.FaultLeave))
+			g.Expect(s.Total("/deposits")).To(gomega.Equal(c.runs))
+		})
+	}
+}
+
+func TestNoConnectionIsNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, addr, stop, err := standin.Listen()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	stop()
+	r := service.New(service.DefaultConfig()).Do(context.Background(), addr, deposit("r1"))
+	g.Expect(r.Outcome).To(gomega.Equal(outcome.NotRun))
+	g.Expect(r.Reason).To(gomega.Equal(service.ReasonDial))
+}
+
+func TestHookAndDeadlineHoldTheFirstByte(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, addr := start(t)
+	client := service.New(service.DefaultConfig())
+
+	held := deposit("r1")
+	held.BeforeWrite = func() error { return errors.New("no") }
+	r := client.Do(context.Background(), addr, held)
+	g.Expect(r.Outcome).To(gomega.Equal(outcome.NotRun))
+	g.Expect(r.Reason).To(gomega.Equal(service.ReasonHeld))
+
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	paused := deposit("r2")
+	paused.BeforeWrite = func() error { <-ctx.Done(); return nil }
+	r = client.Do(ctx, addr, paused)
+	g.Expect(r.Outcome).To(gomega.Equal(outcome.NotRun))
+	g.Expect(r.Reason).To(gomega.Equal(service.ReasonDeadline))
+	g.Consistently(func() int { return s.Total("/deposits") }, "100ms").Should(gomega.BeZero())
+}
+
+func TestPooledCallsShareAConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, addr := start(t)
+	client := service.New(service.DefaultConfig())
+	defer client.Close()
+	for range 3 {
+		r := client.Do(context.Background(), addr, service.Call{ID: "g", Method: "GET", Path: "/datasheets/7", Idempotent: true})
+		g.Expect(r.Outcome).To(gomega.Equal(outcome.Done), "%v", r.Err)
+		g.Expect(r.Status).To(gomega.Equal(200))
+	}
+}
--- /dev/null
+++ b/internal/standin/service/answer.go
@@ -0,0 +1,98 @@
+package service
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/engineapi"
+)
+
+// Receipt is the body of an answer.
+type Receipt struct {
+	Path string `json:"path"`
+	Echo []byte `json:"echo"` // the request's body
+}
+
+// answer answers a call that ran.
+func (s *Service) answer(w http.ResponseWriter, r *http.Request, c Control, body []byte) {
+	receipt, _ := json.Marshal(Receipt{Path: r.URL.Path, Echo: body})
+	switch c.Fault {
+	case FaultDrop:
+		panic(http.ErrAbortHandler)
+	case FaultLate:
+		s.wait(r, time.Duration(c.DelayMS)*time.Millisecond)
+	case FaultCrossed:
+		w.Header().Set(engineapi.HeaderRequestID, "crossed")
+	case FaultCut:
+		s.cut(w, receipt)
+	case FaultUnframed:
+		s.unframed(w, r, receipt)
+		return
+	case FaultLong:
+		receipt = bytes.Repeat([]byte("x"), LongBodyBytes)
+	case FaultFailed:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(statusOf(r.Method))
+	_, _ = w.Write(receipt)
+}
+
+func statusOf(method string) int {
+	if method == http.MethodPost {
+		return http.StatusCreated
+	}
+	return http.StatusOK
+}
+
+// cut promises the whole receipt, sends half of it and drops the connection.
+func (s *Service) cut(w http.ResponseWriter, receipt []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(receipt)))
+	w.WriteHeader(http.StatusCreated)
+	_, _ = w.Write(receipt[:len(receipt)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// unframed answers in the style of HTTP/1.0, half of the body only.
+func (s *Service) unframed(w http.ResponseWriter, r *http.Request, receipt []byte) {
+	conn, rw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = rw.WriteString("HTTP/1.0 201 Created\r\n" + engineapi.HeaderRequestID + ": " + r.Header.Get(engineapi.HeaderRequestID) + "\r\n\r\n")
+	_, _ = rw.Write(receipt[:len(receipt)/2])
+	_ = rw.Flush()
+}
+
+// wait holds the call for d, or with zero until the caller gives up.
+func (s *Service) wait(r *http.Request, d time.Duration) {
+	var after <-chan time.Time
+	if d > 0 {
+		timer := time.NewTimer(d)
+		defer timer.Stop()
+		after = timer.C
+	}
+	select {
+	case <-after:
+	case <-s.closed:
+	case <-r.Context().Done():
+	}
+}
+
+// sleep reports whether d passed before the stand-in was released.
+func (s *Service) sleep(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.closed:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,219 @@
+// Package service is a small stand-in for a plain service. It counts each run
+// by ticket, body and path, which is the oracle of "at most once", and its
+// control endpoint switches faults on.
+package service
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/engineapi"
+)
+
+// Fault is what the stand-in does to a call.
+type Fault string
+
+// The faults.
+const (
+	FaultNone     Fault = ""
+	FaultRefuse   Fault = "refuse"    // do not run, answer with X-Not-Run
+	FaultDrop     Fault = "drop"      // run, then close the connection without an answer
+	FaultLate     Fault = "late"      // run, answer after Delay
+	FaultCrossed  Fault = "crossed"   // run, answer with another request's id
+	FaultCut      Fault = "cut"       // run, promise the whole body and send half of it
+	FaultSilent   Fault = "silent"    // do not run, never answer
+	FaultFailed   Fault = "fail"      // run, answer 500
+	FaultLeave    Fault = "leave"     // refuse with X-Leaving, until switched off
+	FaultSlowRun  Fault = "slow_run"  // wait for Delay, then run and answer
+	FaultUnframed Fault = "unframed"  // run, answer without length or chunks
+	FaultLong     Fault = "long_body" // run, answer with LongBodyBytes
+)
+
+// LongBodyBytes is the size of the answer under FaultLong.
+const LongBodyBytes = 64 << 10
+
+// Control is the body of POST engineapi.PathControl. Times 0 means until it is
+// switched off.
+type Control struct {
+	Fault   Fault `json:"fault"`
+	Times   int   `json:"times"`
+	DelayMS int64 `json:"delay_ms"`
+}
+
+// Counts is the body of GET engineapi.PathControl.
+type Counts struct {
+	Calls  map[string]int `json:"calls"`  // runs by path
+	Ticket map[string]int `json:"ticket"` // runs by Idempotency-Key
+	Body   map[string]int `json:"body"`   // runs by Idempotency-Key and body, see BodyKey
+}
+
+// BodyKey is the key of Counts.Body.
+func BodyKey(ticket string, body []byte) string {
+	sum := sha256.Sum256(body)
+	return ticket + "/" + hex.EncodeToString(sum[:8])
+}
+
+// Service is the stand-in. It is an http.Handler and safe for concurrent use.
+type Service struct {
+	mux    *http.ServeMux
+	mu     sync.Mutex
+	fault  Control
+	counts Counts
+	closed chan struct{}
+	once   sync.Once
+}
+
+// New returns a stand-in without faults.
+func New() *Service {
+	s := &Service{
+		mux:    http.NewServeMux(),
+		counts: Counts{Calls: map[string]int{}, Ticket: map[string]int{}, Body: map[string]int{}},
+		closed: make(chan struct{}),
+	}
+	for _, path := range []string{"/reservations", "/deposits", "/sample-orders"} {
+		s.mux.HandleFunc("POST "+path, s.serve)
+	}
+	s.mux.HandleFunc("GET /datasheets/{id}", s.serve)
+	s.mux.HandleFunc("POST "+engineapi.PathControl, s.control)
+	s.mux.HandleFunc("GET "+engineapi.PathControl, s.report)
+	return s
+}
+
+// Listen serves the stand-in on a free port of 127.0.0.1 until stop is called.
+func Listen() (s *Service, addr netip.AddrPort, stop func(), err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, netip.AddrPort{}, nil, err
+	}
+	s = New()
+	server := &http.Server{Handler: s, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = server.Serve(ln) }()
+	stop = func() {
+		s.Release()
+		_ = server.Close()
+	}
+	return s, ln.Addr().(*net.TCPAddr).AddrPort(), stop, nil
+}
+
+const readHeaderTimeout = 10 * time.Second
+
+// ServeHTTP serves one call or a control request.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Release ends the calls that FaultSilent, FaultLate and FaultSlowRun hold.
+func (s *Service) Release() { s.once.Do(func() { close(s.closed) }) }
+
+// Set switches a fault.
+func (s *Service) Set(c Control) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = c
+}
+
+// Runs returns how often calls with the ticket ran.
+func (s *Service) Runs(ticket string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts.Ticket[ticket]
+}
+
+// BodyRuns returns how often the call with the ticket and body ran.
+func (s *Service) BodyRuns(ticket string, body []byte) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts.Body[BodyKey(ticket, body)]
+}
+
+// Total returns how often calls of the path ran.
+func (s *Service) Total(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts.Calls[path]
+}
+
+func (s *Service) control(w http.ResponseWriter, r *http.Request) {
+	var c Control
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Set(c)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Service) report(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.counts)
+}
+
+// take returns the fault for the next call.
+func (s *Service) take() Control {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.fault
+	if c.Times > 0 {
+		s.fault.Times--
+		if s.fault.Times == 0 {
+			s.fault = Control{}
+		}
+	}
+	return c
+}
+
+func (s *Service) count(r *http.Request, body []byte) {
+	ticket := r.Header.Get("Idempotency-Key")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Calls[r.URL.Path]++
+	if ticket != "" {
+		s.counts.Ticket[ticket]++
+		s.counts.Body[BodyKey(ticket, body)]++
+	}
+}
+
+// serve takes one call through the fault that is switched on.
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	c := s.take()
+	w.Header().Set(engineapi.HeaderRequestID, r.Header.Get(engineapi.HeaderRequestID))
+	if s.refuse(w, c) {
+		return
+	}
+	switch c.Fault {
+	case FaultSilent:
+		s.wait(r, 0)
+		return
+	case FaultSlowRun:
+		// The wait ignores the caller: it may have given up long ago.
+		if !s.sleep(time.Duration(c.DelayMS) * time.Millisecond) {
+			return
+		}
+	}
+	s.count(r, body)
+	s.answer(w, r, c, body)
+}
+
+// refuse answers without running the call if the fault says so.
+func (s *Service) refuse(w http.ResponseWriter, c Control) bool {
+	if c.Fault != FaultRefuse && c.Fault != FaultLeave {
+		return false
+	}
+	if c.Fault == FaultLeave {
+		w.Header().Set(engineapi.HeaderLeaving, "1")
+	}
+	w.Header().Set(engineapi.HeaderNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
