Add the mesh of links between entry hosts

Hosts must reach each other for rules, membership and forwarded calls, and connections may go silent for good while new ones work.

Each host keeps neighbours on two rings over its failure domain and, on a few gateways, on two rings over the domains: at most 12 links at any fleet size. A full mesh was ruled out (4,000 connections per host at the target size), and random links as well, since they give no connected graph by construction. Opening a stream waits for the peer's reply to the method's name before any byte of the request leaves, so a silent connection is found and replaced while the outcome is still known. Half-closing uses an end mark in the stream: yamux resets a half-closed stream after its close timeout, which would cut off long answers.

--- /dev/null
+++ b/internal/mesh/frame.go
@@ -0,0 +1,81 @@
+package mesh
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	frameHeaderBytes = 4
+	// endOfMessages in place of a length says that the sender has no more messages.
+	endOfMessages = ^uint32(0)
+	// maxControlBytes bounds the messages that set up connections and streams.
+	maxControlBytes = 4 << 10
+)
+
+// encodeFrame returns msg with its length before it.
+func encodeFrame(msg proto.Message, limit int) ([]byte, error) {
+	size := proto.Size(msg)
+	if size > limit {
+		return nil, fmt.Errorf("%w: %d bytes, limit %d", ErrTooLarge, size, limit)
+	}
+	frame := make([]byte, frameHeaderBytes, frameHeaderBytes+size)
+	frame, err := proto.MarshalOptions{}.MarshalAppend(frame, msg)
+	if err != nil {
+		return nil, err
+	}
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-frameHeaderBytes))
+	return frame, nil
+}
+
+// endFrame is the frame after the last message.
+func endFrame() []byte {
+	return binary.BigEndian.AppendUint32(nil, endOfMessages)
+}
+
+// readFrame reads one message. It returns io.EOF at the end mark, and
+// ErrAborted when the stream ends without one. Memory grows with the bytes that
+// arrive, never with the length that the peer claims.
+func readFrame(r io.Reader, msg proto.Message, limit int) error {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return abortedAtEnd(err)
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size == endOfMessages {
+		return io.EOF
+	}
+	if uint64(size) > uint64(limit) {
+		return fmt.Errorf("%w: %d bytes, limit %d", ErrTooLarge, size, limit)
+	}
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
+		return abortedAtEnd(err)
+	}
+	if err := proto.Unmarshal(body.Bytes(), msg); err != nil {
+		return fmt.Errorf("%w: %w", ErrProtocol, err)
+	}
+	return nil
+}
+
+func abortedAtEnd(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return ErrAborted
+	}
+	return err
+}
+
+// writeFrame writes one message that sets up a connection or stream.
+func writeFrame(w io.Writer, msg proto.Message) error {
+	frame, err := encodeFrame(msg, maxControlBytes)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(frame)
+	return err
+}
--- /dev/null
+++ b/internal/mesh/links.go
@@ -0,0 +1,106 @@
+package mesh
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/plantainrun/plantainrun/coord/rendezvous"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+const (
+	// rings is the number of independent rings over the hosts of a failure domain,
+	// and over the failure domains.
+	rings = 2
+	// gateways is the number of hosts of a failure domain that carry one ring over the domains.
+	gateways = 2
+	// maxCandidates bounds how far along a ring a host looks for a reachable neighbour.
+	maxCandidates = 6
+)
+
+// slot is one link that a host keeps up: the candidates in the order in which
+// they are tried. The first reachable one is the link.
+type slot []string
+
+// chooseSlots is a pure function of the host list. Each host links to its
+// neighbours on two rings over its failure domain, so the graph of a domain is
+// connected. On two rings over the domains, two hosts of each domain
+// link to those of the neighbouring domains. A host has at most
+// 2*rings + 2*rings*gateways slots, whatever the size of the fleet.
+func chooseSlots(self string, hosts []topology.Host) []slot {
+	byDomain := hostsByDomain(hosts)
+	domain, ok := domainOf(self, hosts)
+	if !ok {
+		return nil
+	}
+	var slots []slot
+	for ring := range rings {
+		order := rendezvous.Top(fmt.Sprintf("mesh ring %d", ring), byDomain[domain], len(byDomain[domain]))
+		slots = appendNeighbours(slots, order, self)
+	}
+	return append(slots, gatewaySlots(self, domain, byDomain)...)
+}
+
+func gatewaySlots(self, domain string, byDomain map[string][]string) []slot {
+	domains := make([]string, 0, len(byDomain))
+	for d := range byDomain {
+		domains = append(domains, d)
+	}
+	slices.Sort(domains)
+	var slots []slot
+	for ring := range rings {
+		index := slices.Index(domainGateways(ring, domain, byDomain, gateways), self)
+		if index < 0 {
+			continue
+		}
+		order := rendezvous.Top(fmt.Sprintf("mesh domains %d", ring), domains, len(domains))
+		at := slices.Index(order, domain)
+		for _, step := range []int{1, len(order) - 1} {
+			next := order[(at+step)%len(order)]
+			if next == domain {
+				continue
+			}
+			candidates := domainGateways(ring, next, byDomain, maxCandidates)
+			slots = append(slots, rotate(candidates, min(index, len(candidates)-1)))
+		}
+	}
+	return slots
+}
+
+func domainGateways(ring int, domain string, byDomain map[string][]string, count int) []string {
+	return rendezvous.Top(fmt.Sprintf("mesh gateway %d %s", ring, domain), byDomain[domain], count)
+}
+
+// appendNeighbours adds the successors and the predecessors of self on the ring.
+func appendNeighbours(slots []slot, order []string, self string) []slot {
+	if len(order) < 2 {
+		return slots
+	}
+	at := slices.Index(order, self)
+	forward := slot(rotate(order, at)[1:])
+	backward := slices.Clone(forward)
+	slices.Reverse(backward)
+	count := min(maxCandidates, len(forward))
+	return append(slots, forward[:count], backward[:count])
+}
+
+func rotate(order []string, by int) []string {
+	return append(slices.Clone(order[by:]), order[:by]...)
+}
+
+func hostsByDomain(hosts []topology.Host) map[string][]string {
+	byDomain := make(map[string][]string)
+	for _, h := range hosts {
+		byDomain[h.Domain] = append(byDomain[h.Domain], h.ID)
+	}
+	return byDomain
+}
+
+func domainOf(id string, hosts []topology.Host) (string, bool) {
+	for _, h := range hosts {
+		if h.ID == id {
+			return h.Domain, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/mesh/peer.go
@@ -0,0 +1,201 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/identity"
+)
+
+// LinkState tells how a peer can be reached.
+type LinkState string
+
+// The states of a peer's connection.
+const (
+	LinkUp   LinkState = "up"
+	LinkIdle LinkState = "idle" // no connection, none failed
+	LinkDown LinkState = "down" // the last dial failed
+)
+
+// PeerInfo is what a host knows of one peer's connections.
+type PeerInfo struct {
+	Host     string
+	Peer     identity.Incarnation // of the newest connection; zero before the first
+	Domain   string
+	State    LinkState
+	RTT      time.Duration // of the last heartbeat
+	BytesIn  uint64        // over the open connections
+	BytesOut uint64
+	LastUp   time.Time // when the newest connection came up
+}
+
+// peer is one host of the list with its connections.
+type peer struct {
+	mesh    *Mesh
+	host    string
+	dialing chan struct{} // holds one token; its holder may dial
+
+	mu       sync.Mutex
+	sessions []*session // newest last
+	last     identity.Incarnation
+	domain   string
+	lastUp   time.Time
+	failures int
+	retryAt  time.Time // no link dial before
+	wantedAt time.Time // since when a link is missing
+}
+
+// peer returns the record of a listed host.
+func (m *Mesh) peer(host string) (*peer, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closing {
+		return nil, notSent(host, "open", "ask another host", ErrClosing)
+	}
+	if _, listed := m.hosts[host]; !listed || host == m.cfg.Self.Host {
+		return nil, notSent(host, "open", "wait until the platform's host list names it", ErrUnknownHost)
+	}
+	return m.peerLocked(host), nil
+}
+
+func (m *Mesh) peerLocked(host string) *peer {
+	p := m.peers[host]
+	if p == nil {
+		p = &peer{mesh: m, host: host, dialing: make(chan struct{}, 1)}
+		m.peers[host] = p
+	}
+	return p
+}
+
+func (m *Mesh) allPeers() []*peer {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	all := make([]*peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		all = append(all, p)
+	}
+	return all
+}
+
+// Peers returns what is known of every peer that was ever connected or dialled
+// and is on the list, sorted by host.
+func (m *Mesh) Peers() []PeerInfo {
+	var infos []PeerInfo
+	for _, p := range m.allPeers() {
+		infos = append(infos, p.info())
+	}
+	slices.SortFunc(infos, func(a, b PeerInfo) int { return compareStrings(a.Host, b.Host) })
+	return infos
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (p *peer) info() PeerInfo {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	info := PeerInfo{Host: p.host, Peer: p.last, Domain: p.domain, State: LinkIdle, LastUp: p.lastUp}
+	if p.failures > 0 {
+		info.State = LinkDown
+	}
+	for _, s := range p.sessions {
+		info.State = LinkUp
+		info.RTT = time.Duration(s.rtt.Load())
+		info.BytesIn += s.conn.in.Load()
+		info.BytesOut += s.conn.out.Load()
+	}
+	return info
+}
+
+func (p *peer) open(ctx context.Context, method string) (*Stream, error) {
+	for {
+		s, fresh, err := p.session(ctx)
+		if err != nil {
+			return nil, notSent(p.host, "dial", "ask another host or try again", err)
+		}
+		st, err := s.open(ctx, method)
+		switch {
+		case err == nil:
+			return st, nil
+		case errors.Is(err, ErrUnknownMethod), errors.Is(err, ErrBusy), errors.Is(err, ErrClosing), ctx.Err() != nil, fresh:
+			return nil, notSent(p.host, "open", "ask another host or try again", err)
+		}
+		s.closeSilent()
+	}
+}
+
+// session returns a usable connection and whether it was dialled for this call.
+func (p *peer) session(ctx context.Context) (*session, bool, error) {
+	if s := p.usable(); s != nil {
+		return s, false, nil
+	}
+	select {
+	case p.dialing <- struct{}{}:
+		defer func() { <-p.dialing }()
+	case <-ctx.Done():
+		return nil, false, ctx.Err()
+	}
+	if s := p.usable(); s != nil {
+		return s, false, nil
+	}
+	s, err := p.mesh.dial(ctx, p.host)
+	p.noteDial(err)
+	return s, err == nil, err
+}
+
+func (p *peer) usable() *session {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range slices.Backward(p.sessions) {
+		if s.usable() {
+			return s
+		}
+	}
+	return nil
+}
+
+func (p *peer) all() []*session {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.sessions)
+}
+
+func (p *peer) sessionCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.sessions)
+}
+
+func (p *peer) add(s *session) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sessions = append(p.sessions, s)
+	p.last, p.domain, p.lastUp = s.peer, s.domain, time.Now()
+	p.failures, p.retryAt, p.wantedAt = 0, time.Time{}, time.Time{}
+}
+
+func (p *peer) remove(s *session) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sessions = slices.DeleteFunc(p.sessions, func(other *session) bool { return other == s })
+}
+
+func (p *peer) noteDial(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil {
+		return
+	}
+	p.failures++
+	p.retryAt = time.Now().Add(dialBackoff(p.failures))
+}
--- /dev/null
+++ b/internal/mesh/seed_test.go
@@ -0,0 +1,12 @@
+package mesh
+
+import (
+	"flag"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/internal/mesh/session.go
@@ -0,0 +1,235 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/internal/mesh/meshpb"
+)
+
+// session is one connection to a peer, after the hello.
+type session struct {
+	mesh     *Mesh
+	mux      *yamux.Session
+	conn     *countedConn
+	peer     identity.Incarnation
+	domain   string
+	partner  string
+	outbound bool // this side dialled
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	rtt       atomic.Int64 // last round trip, in nanoseconds
+	streams   atomic.Int64
+	served    atomic.Int64 // streams that the peer opened
+	lastUsed  atomic.Int64 // Unix time in nanoseconds
+	retiredAt atomic.Int64 // Unix time in nanoseconds; zero: in use
+	stop      sync.Once
+}
+
+func (m *Mesh) newSession(conn *countedConn, hello *meshpb.Hello, outbound bool) (*session, error) {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false // heartbeat below also measures the round trip
+	cfg.ConnectionWriteTimeout = m.cfg.HeartbeatTimeout
+	cfg.StreamOpenTimeout = 0 // Open waits for the peer's reply, with its own bound
+	cfg.LogOutput = io.Discard
+	build := yamux.Server
+	if outbound {
+		build = yamux.Client
+	}
+	mux, err := build(conn, cfg)
+	if err != nil {
+		return nil, err
+	}
+	s := &session{
+		mesh: m, mux: mux, conn: conn, outbound: outbound,
+		peer:    identity.Incarnation{Host: hello.GetHost(), Start: hello.GetStart()},
+		domain:  hello.GetDomain(),
+		partner: hello.GetPartner(),
+	}
+	s.ctx, s.cancel = context.WithCancel(m.ctx)
+	s.lastUsed.Store(time.Now().UnixNano())
+	return s, nil
+}
+
+// run serves the connection until it ends.
+func (s *session) run() {
+	var wg sync.WaitGroup
+	wg.Go(s.heartbeat)
+	s.acceptLoop(&wg)
+	s.close()
+	wg.Wait()
+}
+
+func (s *session) acceptLoop(wg *sync.WaitGroup) {
+	for {
+		conn, err := s.mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		s.streamStarted()
+		st := &Stream{session: s, conn: conn, limit: s.mesh.cfg.MaxMessageBytes}
+		wg.Go(func() { s.serve(st) })
+	}
+}
+
+// heartbeat closes a connection on which nothing arrives any more.
+func (s *session) heartbeat() {
+	ticker := time.NewTicker(s.mesh.cfg.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		before := s.conn.in.Load()
+		rtt, err := s.mux.Ping()
+		switch {
+		case err == nil:
+			s.rtt.Store(int64(rtt))
+		case errors.Is(err, yamux.ErrSessionShutdown):
+			return
+		case s.conn.in.Load() == before:
+			s.closeSilent()
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-s.mux.CloseChan():
+			return
+		}
+	}
+}
+
+// serve answers the opening of a stream and runs its handler.
+func (s *session) serve(st *Stream) {
+	defer func() { _ = st.Close() }()
+	_ = st.conn.SetDeadline(time.Now().Add(s.mesh.cfg.OpenTimeout))
+	var req meshpb.OpenRequest
+	if err := readFrame(st.conn, &req, maxControlBytes); err != nil {
+		return
+	}
+	handler, status := s.admit(req.GetMethod())
+	if handler != nil {
+		defer s.mesh.handlers.Done()
+		defer s.served.Add(-1)
+	}
+	if err := writeFrame(st.conn, &meshpb.OpenReply{Status: status}); err != nil || handler == nil {
+		return
+	}
+	_ = st.conn.SetDeadline(time.Time{})
+	st.forward = isForward(req.GetMethod())
+	s.mesh.traffic.served.Add(1)
+	if err := handler(s.ctx, st); err != nil {
+		s.mesh.traffic.handlerErrors.Add(1)
+		return
+	}
+	_ = st.CloseSend()
+}
+
+// admit finds the handler and counts it as running, or says why not.
+func (s *session) admit(method string) (Handler, meshpb.OpenStatus) {
+	handler := s.mesh.handler(method)
+	if handler == nil {
+		return nil, meshpb.OpenStatus_OPEN_STATUS_UNKNOWN_METHOD
+	}
+	if s.served.Add(1) > int64(s.mesh.cfg.MaxStreamsPerPeer) {
+		s.served.Add(-1)
+		return nil, meshpb.OpenStatus_OPEN_STATUS_BUSY
+	}
+	if !s.mesh.beginHandler() {
+		s.served.Add(-1)
+		return nil, meshpb.OpenStatus_OPEN_STATUS_CLOSING
+	}
+	return handler, meshpb.OpenStatus_OPEN_STATUS_ACCEPTED
+}
+
+// open opens a stream and waits until the peer accepts its method.
+func (s *session) open(ctx context.Context, method string) (*Stream, error) {
+	conn, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	s.streamStarted()
+	st := &Stream{session: s, conn: conn, limit: s.mesh.cfg.MaxMessageBytes, forward: isForward(method)}
+	_ = conn.SetDeadline(time.Now().Add(s.mesh.cfg.OpenTimeout))
+	stop := context.AfterFunc(ctx, func() { _ = st.Close(); _ = conn.SetDeadline(time.Now()) })
+	status, err := exchangeOpen(conn, method)
+	if !stop() {
+		err = errors.Join(ctx.Err(), err)
+	}
+	if err == nil {
+		err = statusError(status)
+	}
+	if err != nil {
+		_ = st.Close()
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	s.mesh.traffic.opened.Add(1)
+	return st, nil
+}
+
+func exchangeOpen(conn *yamux.Stream, method string) (meshpb.OpenStatus, error) {
+	if err := writeFrame(conn, &meshpb.OpenRequest{Method: method}); err != nil {
+		return 0, err
+	}
+	var reply meshpb.OpenReply
+	if err := readFrame(conn, &reply, maxControlBytes); err != nil {
+		return 0, err
+	}
+	return reply.GetStatus(), nil
+}
+
+func statusError(status meshpb.OpenStatus) error {
+	switch status {
+	case meshpb.OpenStatus_OPEN_STATUS_ACCEPTED:
+		return nil
+	case meshpb.OpenStatus_OPEN_STATUS_UNKNOWN_METHOD:
+		return ErrUnknownMethod
+	case meshpb.OpenStatus_OPEN_STATUS_BUSY:
+		return ErrBusy
+	case meshpb.OpenStatus_OPEN_STATUS_CLOSING:
+		return ErrClosing
+	default:
+		return ErrProtocol
+	}
+}
+
+func (s *session) streamStarted() {
+	s.streams.Add(1)
+	s.lastUsed.Store(time.Now().UnixNano())
+}
+
+func (s *session) streamDone() {
+	s.lastUsed.Store(time.Now().UnixNano())
+	s.streams.Add(-1)
+}
+
+// usable reports whether new streams may be opened.
+func (s *session) usable() bool { return s.retiredAt.Load() == 0 && !s.mux.IsClosed() }
+
+// retire tells the peer to open no more streams here.
+func (s *session) retire() {
+	if s.retiredAt.CompareAndSwap(0, time.Now().UnixNano()) {
+		s.mesh.spawn(func() { _ = s.mux.GoAway() })
+	}
+}
+
+func (s *session) closeSilent() {
+	s.mesh.traffic.silent.Add(1)
+	s.mesh.logLinkLost(s, ErrSilent)
+	s.close()
+}
+
+func (s *session) close() {
+	s.stop.Do(func() {
+		_ = s.conn.Close() // first: a silent peer must not delay the multiplexer's own close
+		_ = s.mux.Close()
+		s.cancel()
+		s.mesh.forget(s)
+	})
+}
