Add settings, callers' and operators' interfaces, forwarding and prompt runs

Cause: the thin path needs the host's own edges: settings checked as a whole, HTTP towards callers and operators on go-zero's rest, and requests that another host must run. Ruled out: rest's own timeouts, body limit, shedding and breaker (they would cut a stream of minutes and a body of 4 MB), and its signal handling, which ends the process 5.5 s after SIGTERM.

--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,236 @@
+// Package caller is the callers' HTTP interface: prompts in the form that
+// OpenAI clients send, and calls of plain services.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/completion"
+	"github.com/plantainrun/plantainrun/internal/httpserver"
+	"github.com/plantainrun/plantainrun/internal/openai"
+	"github.com/plantainrun/plantainrun/internal/rules"
+)
+
+// Headers of the callers' interface.
+const (
+	// HeaderTimeLimit is the caller's time limit in milliseconds.
+	HeaderTimeLimit = "X-Time-Limit-Ms"
+	// HeaderTicket carries the ticket of a call that must not run twice.
+	HeaderTicket = "Idempotency-Key"
+	// HeaderRequestID names the request in answers.
+	HeaderRequestID = "X-Request-Id"
+)
+
+const servicePrefix = "/v1/services/"
+
+// Rules is what the callers' interface asks of the rules in force.
+type Rules interface {
+	// Organisation returns the organisation of a bearer key and its partner.
+	Organisation(key string) (rules.Organisation, string, bool)
+	// TimeLimit is the partner's cap for a class of prompt, zero without one.
+	TimeLimit(partner string, class rules.Class) time.Duration
+	// Repeatable tells whether a service call may be repeated.
+	Repeatable(partner, service, method, path string) bool
+}
+
+// ServiceCall is one call of a plain service.
+type ServiceCall struct {
+	ID         string
+	Ticket     string
+	Partner    string
+	Service    string
+	Method     string
+	Path       string // with the query
+	Header     http.Header
+	Body       []byte
+	Deadline   time.Time
+	Repeatable bool
+}
+
+// ServiceAnswer is a service's whole answer.
+type ServiceAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Services runs calls of plain services. Errors are of type *apierror.Error.
+type Services interface {
+	Call(ctx context.Context, call ServiceCall) (ServiceAnswer, error)
+}
+
+// Observer counts what callers see. Implementations are safe for concurrent use.
+type Observer interface {
+	Refused(kind apierror.Kind)
+	FirstToken(class rules.Class, partner string, took time.Duration)
+	Finished(class rules.Class, partner string, took time.Duration)
+}
+
+// Limits bounds what callers may ask for.
+type Limits struct {
+	BodyBytes    int64
+	TimeLimit    time.Duration // where neither caller nor rules give one
+	MaxTimeLimit time.Duration
+	OutputTokens int
+	// BytesPerToken classifies a prompt before a model's own ratio is known.
+	BytesPerToken float64
+}
+
+// Handler serves callers. It is safe for concurrent use.
+type Handler struct {
+	Rules    Rules
+	Runner   completion.Runner
+	Services Services
+	Observer Observer
+	Limits   Limits
+	Clock    clock.Clock
+	NewID    func() string
+}
+
+// Register adds the callers' routes to srv.
+func (h *Handler) Register(srv *httpserver.Server) {
+	srv.Handle(http.MethodPost, "/v1/completions", h.completions)
+	srv.Handle(http.MethodPost, "/v1/chat/completions", h.chat)
+	srv.HandlePrefix(servicePrefix, http.HandlerFunc(h.service))
+	srv.SetFallback(http.HandlerFunc(h.notFound))
+}
+
+// identity is who calls and for how long the answer is wanted.
+type identity struct {
+	id      string
+	org     rules.Organisation
+	partner string
+	arrival time.Time
+	wanted  time.Duration // zero: the caller gave no limit
+}
+
+func (h *Handler) identify(r *http.Request) (identity, error) {
+	who := identity{id: h.NewID(), arrival: h.Clock.Now()}
+	key, err := bearerKey(r)
+	if err != nil {
+		return who, err
+	}
+	org, partner, ok := h.Rules.Organisation(key)
+	if !ok {
+		return who, apierror.NotRun(apierror.KindUnauthorized, "use a key that your partner's rules name", "the bearer key belongs to no organisation")
+	}
+	who.org, who.partner = org, partner
+	who.wanted, err = wantedLimit(r)
+	return who, err
+}
+
+func bearerKey(r *http.Request) (string, error) {
+	const scheme = "Bearer "
+	value := r.Header.Get("Authorization")
+	if len(value) <= len(scheme) || value[:len(scheme)] != scheme {
+		return "", apierror.NotRun(apierror.KindUnauthorized, "send Authorization: Bearer and your organisation's key", "the request has no bearer key")
+	}
+	return value[len(scheme):], nil
+}
+
+func wantedLimit(r *http.Request) (time.Duration, error) {
+	value := r.Header.Get(HeaderTimeLimit)
+	if value == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms <= 0 || ms > math.MaxInt64/int64(time.Millisecond) {
+		return 0, apierror.NotRun(apierror.KindBadRequest, "give a whole number of milliseconds above zero", "%s is %q", HeaderTimeLimit, value)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// limitFor joins the caller's limit, the published cap and the defaults.
+func (h *Handler) limitFor(who identity, class rules.Class) time.Duration {
+	published := h.Rules.TimeLimit(who.partner, class)
+	limit := who.wanted
+	if limit == 0 {
+		limit = published
+	}
+	if limit == 0 {
+		limit = h.Limits.TimeLimit
+	}
+	if published > 0 {
+		return min(limit, published)
+	}
+	return min(limit, h.Limits.MaxTimeLimit)
+}
+
+// readBody reads a body of at most the bound, in one allocation where the
+// length is announced.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength > h.Limits.BodyBytes {
+		return nil, h.tooLarge()
+	}
+	limited := http.MaxBytesReader(w, r.Body, h.Limits.BodyBytes)
+	var body []byte
+	var err error
+	if r.ContentLength >= 0 {
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(limited, body)
+	} else {
+		body, err = io.ReadAll(limited)
+	}
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return nil, h.tooLarge()
+	}
+	if err != nil {
+		return nil, apierror.NotRun(apierror.KindBadRequest, "send the body again", "the body ended early")
+	}
+	return body, nil
+}
+
+func (h *Handler) tooLarge() error {
+	return apierror.NotRun(apierror.KindTooLarge, "send a smaller body", "the body is over the limit of %d bytes", h.Limits.BodyBytes)
+}
+
+func (h *Handler) notFound(w http.ResponseWriter, r *http.Request) {
+	h.fail(w, apierror.NotRun(apierror.KindNotFound, "see the paths in the README", "%s %s is not served", r.Method, r.URL.Path))
+}
+
+// fail writes err as the whole answer.
+func (h *Handler) fail(w http.ResponseWriter, err error) {
+	e := apierror.From(err)
+	h.Observer.Refused(e.Kind)
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	if e.Ticket != "" {
+		w.Header().Set(HeaderTicket, e.Ticket)
+	}
+	writeJSON(w, e.Status(), errorBody(e))
+}
+
+func errorBody(e *apierror.Error) openai.ErrorBody {
+	return openai.ErrorBody{Error: openai.ErrorDetail{
+		Kind:              string(e.Kind),
+		Message:           e.Message,
+		Remedy:            e.Remedy,
+		Run:               e.Outcome.RunState(),
+		RetryAfterSeconds: e.RetryAfter.Seconds(),
+		Ticket:            e.Ticket,
+	}}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		status = http.StatusInternalServerError
+		body = []byte(`{"error":{"kind":"internal","message":"the answer cannot be encoded","run":"` + outcome.Unknown.RunState() + `"}}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,86 @@
+// Package cli holds the commands of the binary.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/plantainrun/plantainrun/internal/buildinfo"
+)
+
+// Exit codes of the binary.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Streams are where commands write.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// usageError is wrong usage, told apart from a command that failed.
+type usageError struct{ cause error }
+
+func (e *usageError) Error() string { return e.cause.Error() }
+func (e *usageError) Unwrap() error { return e.cause }
+
+// Run parses args, without the program's name, and runs the command. It
+// returns the exit code.
+func Run(args []string, streams Streams) int {
+	parser := newParser(streams)
+	_, err := parser.ParseArgs(args)
+	var flagErr *flags.Error
+	var usage *usageError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		fmt.Fprintln(streams.Out, flagErr.Message)
+		return ExitOK
+	case errors.As(err, &flagErr), errors.As(err, &usage):
+		fmt.Fprintln(streams.Err, err)
+		return ExitUsage
+	default:
+		fmt.Fprintln(streams.Err, err)
+		return ExitFailed
+	}
+}
+
+func newParser(streams Streams) *flags.Parser {
+	parser := flags.NewNamedParser("plantainrun", flags.HelpFlag|flags.PassDoubleDash)
+	add := func(name, short string, cmd flags.Commander) *flags.Command {
+		c, err := parser.AddCommand(name, short, short, cmd)
+		if err != nil {
+			panic(err) // two commands of one name, or a malformed tag: a fault in this file
+		}
+		return c
+	}
+	add("serve", "Run an entry host.", &serveCommand{streams: streams})
+	add("demo", "Run a small system in one process and show what it does.", &demoCommand{streams: streams})
+	add("standin", "Run one stand-in of the platform, an engine or a service.", &standinCommand{streams: streams})
+	add("status", "Show the state of a host.", &statusCommand{streams: streams})
+	add("audit", "Show the audit trail of a host.", &auditCommand{streams: streams})
+	add("drain", "Let a host finish its requests and exit.", &drainCommand{streams: streams})
+	add("version", "Show the version.", &versionCommand{streams: streams})
+	rulesCmd := add("rules", "Work with rules.", &rulesCommand{})
+	if _, err := rulesCmd.AddCommand("check", "Check a file of rules.", "Check a file of rules.", &rulesCheckCommand{streams: streams}); err != nil {
+		panic(err)
+	}
+	return parser
+}
+
+type rulesCommand struct{}
+
+type versionCommand struct{ streams Streams }
+
+// Execute prints the version.
+func (c *versionCommand) Execute([]string) error {
+	fmt.Fprintln(c.streams.Out, "plantainrun", buildinfo.Version)
+	return nil
+}
--- /dev/null
+++ b/internal/cli/client.go
@@ -0,0 +1,75 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/plantainrun/plantainrun/internal/operator"
+)
+
+const (
+	clientTimeout  = 10 * time.Second
+	maxAnswerBytes = 16 << 20
+)
+
+// clientOptions say which host to ask.
+type clientOptions struct {
+	Addr string `long:"operators-addr" env:"PLANTAINRUN_OPERATORS_ADDR" default:"127.0.0.1:8082" description:"IP:port of the host's operators' interface"`
+	Key  string `long:"operator-key" env:"PLANTAINRUN_OPERATOR_KEY" description:"bearer key of the operators' interface"`
+	JSON bool   `long:"json" description:"print JSON"`
+}
+
+// call sends one request to the operators' interface and decodes the answer
+// into out. It returns the raw answer.
+func (o *clientOptions) call(method, path, who string, out any) ([]byte, error) {
+	addr, err := netip.ParseAddrPort(o.Addr)
+	if err != nil {
+		return nil, &usageError{fmt.Errorf("--operators-addr: %q is not IP:port", o.Addr)}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+o.Key)
+	if who != "" {
+		req.Header.Set(operator.HeaderWho, who)
+	}
+	resp, err := httpc.DoRequest(req)
+	if err != nil {
+		return nil, fmt.Errorf("host at %s does not answer, check --operators-addr: %w", addr, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, fmt.Errorf("answer of %s ended early: %w", addr, err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return nil, refusal(body, resp.StatusCode)
+	}
+	return body, json.Unmarshal(body, out)
+}
+
+func refusal(body []byte, status int) error {
+	var f operator.Failure
+	if err := json.Unmarshal(body, &f); err != nil || f.Kind == "" {
+		return fmt.Errorf("the host answered with status %d", status)
+	}
+	return fmt.Errorf("%s: %s; %s", f.Kind, f.Message, f.Remedy)
+}
+
+func operatorName() string {
+	if name := os.Getenv("USER"); name != "" {
+		return name
+	}
+	return "operator"
+}
--- /dev/null
+++ b/internal/completion/run.go
@@ -0,0 +1,266 @@
+package completion
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/engineapi"
+	"github.com/plantainrun/plantainrun/internal/rules"
+	"github.com/plantainrun/plantainrun/internal/schedule"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+// BlockBytes is the size of the prompt blocks whose hashes name a prefix.
+const BlockBytes = 4096
+
+// maxBlocks bounds the hashes of one prompt.
+const maxBlocks = 256
+
+// retryPause is how long a caller should wait after a target failed it.
+const retryPause = time.Second
+
+// Attempt is the result of one attempt at an engine.
+type Attempt struct {
+	Outcome outcome.Outcome
+	// Died is set when the engine's process ended during the attempt.
+	Died   bool
+	Tokens int // tokens that reached the sink
+	Reason string
+	Usage  engineapi.Usage
+}
+
+// Call is one prompt prepared for any number of attempts.
+type Call interface {
+	// Attempt runs the prompt once on target and passes each token once, in
+	// order. A nil error comes only with a whole answer.
+	Attempt(ctx context.Context, target topology.Target, priority int, token func(text string) error) (Attempt, error)
+}
+
+// Engines prepares prompts for attempts.
+type Engines interface {
+	Prepare(req Request) (Call, error)
+}
+
+// Suspects keeps the books on prompts that crash targets.
+type Suspects interface {
+	// Admit refuses a quarantined fingerprint. alone asks for a target without
+	// other suspects.
+	Admit(fingerprint uint64) (alone bool, err error)
+	// Started and Ended bracket one attempt.
+	Started(fingerprint uint64, target string)
+	Ended(fingerprint uint64, target string, died bool, result outcome.Outcome)
+}
+
+// Limiter holds back organisations that are over their limit.
+type Limiter interface {
+	// Take takes tokens of the organisation's limit, or returns a refusal with
+	// when to come back.
+	Take(org rules.Organisation, tokens int) error
+}
+
+// RetryBudget bounds retries as a fraction of first tries.
+type RetryBudget interface {
+	First(key string)
+	Retry(key string) bool
+}
+
+// Overflow runs a prompt in another failure domain.
+type Overflow interface {
+	// Run reports false when no other domain can take the prompt.
+	Run(ctx context.Context, req Request, sink Sink) (Result, bool, error)
+}
+
+// Observer counts attempts and tokens.
+type Observer interface {
+	Attempt(target string, result outcome.Outcome)
+	Tokens(partner string, prompt, output int)
+}
+
+// Estimator turns prompts into tokens.
+type Estimator interface {
+	PromptTokens(model string, bytes int) int
+}
+
+// Local runs prompts on the targets of the host's own failure domain, and
+// elsewhere when these are full. It is safe for concurrent use.
+type Local struct {
+	Estimator Estimator
+	Scheduler schedule.Scheduler
+	Engines   Engines
+	Suspects  Suspects
+	Limiter   Limiter
+	Retries   RetryBudget
+	Overflow  Overflow // nil: none
+	Observer  Observer
+	Clock     clock.Clock
+}
+
+// run is the state of one prompt.
+type run struct {
+	*Local
+	req         Request
+	sink        Sink
+	call        Call
+	fingerprint uint64
+	tokens      int
+	exclude     []string
+}
+
+// Run runs req and passes its tokens to sink. The error is an *apierror.Error.
+func (l *Local) Run(ctx context.Context, req Request, sink Sink) (Result, error) {
+	r := &run{Local: l, req: req, sink: sink}
+	r.tokens = l.Estimator.PromptTokens(req.Model, len(req.Prompt))
+	r.fingerprint = Fingerprint(req)
+	if err := l.admit(r); err != nil {
+		return Result{}, err
+	}
+	call, err := l.Engines.Prepare(req)
+	if err != nil {
+		return Result{}, err
+	}
+	r.call = call
+	result, err := r.attempts(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	l.Observer.Tokens(req.Partner, result.Usage.PromptTokens, result.Usage.OutputTokens)
+	return result, nil
+}
+
+func (l *Local) admit(r *run) error {
+	if _, err := l.Suspects.Admit(r.fingerprint); err != nil {
+		return err
+	}
+	if r.req.Forwarded {
+		return nil
+	}
+	return l.Limiter.Take(r.req.Organisation, r.tokens+r.req.MaxTokens)
+}
+
+// attempts tries targets until one answers in full or the prompt is given up.
+func (r *run) attempts(ctx context.Context) (Result, error) {
+	first := true
+	for {
+		grant, err := r.acquire(ctx)
+		if err != nil {
+			return r.elsewhere(ctx, err)
+		}
+		target := grant.Target().ID
+		r.countTry(target, first)
+		first = false
+		attempt, err := r.attempt(ctx, grant)
+		if err == nil {
+			return Result{Reason: attempt.Reason, Usage: attempt.Usage}, nil
+		}
+		if err := r.mayRetry(ctx, target, attempt, err); err != nil {
+			return Result{}, err
+		}
+		r.exclude = append(r.exclude, target)
+	}
+}
+
+func (r *run) countTry(target string, first bool) {
+	if first {
+		r.Retries.First(target)
+	}
+}
+
+func (r *run) acquire(ctx context.Context) (schedule.Grant, error) {
+	alone, err := r.Suspects.Admit(r.fingerprint)
+	if err != nil {
+		return nil, err
+	}
+	return r.Scheduler.Acquire(ctx, schedule.Request{
+		ID: r.req.ID, Partner: r.req.Partner, Organisation: r.req.Organisation.Name, Model: r.req.Model,
+		PromptTokens: r.tokens, MaxTokens: r.req.MaxTokens, Arrival: r.req.Arrival, Deadline: r.req.Deadline,
+		Prefixes: Prefixes(r.req.Prompt), Exclude: r.exclude, Alone: alone,
+	})
+}
+
+// attempt runs the prompt once under grant.
+func (r *run) attempt(ctx context.Context, grant schedule.Grant) (Attempt, error) {
+	target := grant.Target()
+	r.Suspects.Started(r.fingerprint, target.ID)
+	seen := false
+	attempt, err := r.call.Attempt(ctx, target, grant.Priority(), func(text string) error {
+		if !seen {
+			seen = true
+			grant.FirstToken(r.Clock.Now())
+		}
+		return r.sink.Token(text)
+	})
+	r.Suspects.Ended(r.fingerprint, target.ID, attempt.Died, attempt.Outcome)
+	grant.Release(r.Clock.Now(), attempt.Outcome)
+	r.Observer.Attempt(target.ID, attempt.Outcome)
+	return attempt, err
+}
+
+// mayRetry returns nil when another attempt is allowed, or the final error.
+// Text that already left is never continued by another run.
+func (r *run) mayRetry(ctx context.Context, target string, attempt Attempt, cause error) error {
+	switch {
+	case ctx.Err() != nil:
+		return r.deadline(attempt.Outcome)
+	case attempt.Outcome == outcome.Failed && !attempt.Died:
+		return cause
+	case !r.sink.Reset():
+		return cause
+	case !r.Retries.Retry(target):
+		return apierror.New(apierror.KindTargetFailed, attempt.Outcome, "come back later", "target %s failed and the retry budget is used up", target).After(retryPause)
+	}
+	return nil
+}
+
+// elsewhere tries another failure domain after the own one refused.
+func (r *run) elsewhere(ctx context.Context, refused error) (Result, error) {
+	if errors.Is(refused, context.DeadlineExceeded) || errors.Is(refused, context.Canceled) {
+		return Result{}, r.deadline(outcome.NotRun)
+	}
+	e := apierror.From(refused)
+	full := e.Kind == apierror.KindOverloaded || e.Kind == apierror.KindNoTarget
+	if r.Overflow == nil || r.req.Forwarded || !full {
+		return Result{}, refused
+	}
+	result, taken, err := r.Overflow.Run(ctx, r.req, r.sink)
+	if !taken {
+		return Result{}, refused
+	}
+	return result, err
+}
+
+func (r *run) deadline(result outcome.Outcome) error {
+	e := apierror.New(apierror.KindDeadline, result, "ask again with a longer time limit", "the time limit of %s is over", r.req.Deadline.Sub(r.req.Arrival))
+	return e.After(retryPause)
+}
+
+// Fingerprint is a hash of what a target would run, whoever asks for it.
+func Fingerprint(req Request) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range append([]string{req.Model, req.Adapter, req.Prompt, strconv.Itoa(req.MaxTokens)}, req.Stop...) {
+		_, _ = d.WriteString(strconv.Itoa(len(part)))
+		_, _ = d.WriteString(":")
+		_, _ = d.WriteString(part)
+	}
+	return d.Sum64()
+}
+
+// Prefixes returns the hashes of the prompt's leading blocks, shortest first.
+func Prefixes(prompt string) []uint64 {
+	count := min(len(prompt)/BlockBytes, maxBlocks)
+	hashes := make([]uint64, 0, count)
+	var d xxhash.Digest
+	d.Reset()
+	for i := range count {
+		_, _ = d.WriteString(prompt[i*BlockBytes : (i+1)*BlockBytes])
+		hashes = append(hashes, d.Sum64())
+	}
+	return hashes
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,58 @@
+package config_test
+
+import (
+	"testing"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/onsi/gomega"
+
+	"github.com/plantainrun/plantainrun/internal/config"
+)
+
+func parse(t *testing.T, args ...string) *config.Settings {
+	t.Helper()
+	var s config.Settings
+	_, err := flags.NewParser(&s, flags.None).ParseArgs(args)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return &s
+}
+
+var good = []string{
+	"--host-id=sapporo-1", "--partner=kushiro", "--failure-domain=sapporo",
+	"--platform-addr=127.0.0.1:9000", "--operator-key=0123456789abcdef", "--peer-plain",
+}
+
+func TestGoodSettingsPass(t *testing.T) {
+	g := gomega.NewWithT(t)
+	addrs, err := parse(t, good...).Check()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(addrs.Callers.Port()).To(gomega.Equal(uint16(8080)))
+}
+
+func TestEveryFaultIsNamedWithItsRemedy(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, err := parse(t, "--host-id=Sapporo 1", "--partner=nobody", "--platform-addr=localhost:1",
+		"--max-body-bytes=-1", "--log-level=loud", "--max-time-limit=1s").Check()
+	var problems config.Problems
+	g.Expect(err).To(gomega.BeAssignableToTypeOf(problems))
+	problems = err.(config.Problems)
+	var named []string
+	for _, p := range problems {
+		named = append(named, p.Setting)
+		g.Expect(p.Remedy).NotTo(gomega.BeEmpty())
+	}
+	g.Expect(named).To(gomega.ConsistOf("host-id", "failure-domain", "platform-addr", "rules-of",
+		"operator-key", "peer-cert", "max-body-bytes", "log-level", "max-time-limit"))
+}
+
+func TestPlainPeersNeedLoopback(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, err := parse(t, append(good, "--peers-addr=10.0.0.1:8081")...).Check()
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("10.0.0.1:8081 is not a loopback address")))
+}
+
+func TestEnvironmentSetsFlags(t *testing.T) {
+	g := gomega.NewWithT(t)
+	t.Setenv("PLANTAINRUN_HOST_ID", "kushiro-2")
+	g.Expect(parse(t).Host.ID).To(gomega.Equal("kushiro-2"))
+}
--- /dev/null
+++ b/internal/forward/calls.go
@@ -0,0 +1,116 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/internal/forward/forwardpb"
+	"github.com/plantainrun/plantainrun/internal/mesh"
+	"github.com/plantainrun/plantainrun/internal/once"
+)
+
+// errReplaced says that the owner's host runs another process by now.
+var errReplaced = errors.New("the owner's host runs another process")
+
+// Owner runs the calls of this process's tickets.
+type Owner interface {
+	Self() identity.Incarnation
+	Execute(ctx context.Context, call once.Call) (once.Answer, error)
+}
+
+// Membership tells which processes are known to have ended.
+type Membership interface {
+	IncarnationGone(inc identity.Incarnation) bool
+}
+
+// Calls forwards service calls to the owners of their tickets. It is safe for
+// concurrent use and implements once.Forwarder.
+type Calls struct {
+	mesh    Mesh
+	members Membership
+}
+
+// NewCalls returns a forwarder over m.
+func NewCalls(m Mesh, members Membership) *Calls {
+	return &Calls{mesh: m, members: members}
+}
+
+// ServeCalls serves the calls that other hosts forward to owner.
+func ServeCalls(m Mesh, owner Owner) {
+	m.Handle(methodCall, func(ctx context.Context, s *mesh.Stream) error { return serveCall(ctx, s, owner) })
+}
+
+// Forward runs call at its owner. An error that is not an *apierror.Error is a
+// *once.LostError: the owner gave no answer.
+func (c *Calls) Forward(ctx context.Context, owner identity.Incarnation, call once.Call) (once.Answer, error) {
+	if c.members.IncarnationGone(owner) {
+		return once.Answer{}, &once.LostError{Gone: true, Err: fmt.Errorf("process %s has ended", owner)}
+	}
+	s, err := c.mesh.Open(ctx, owner.Host, methodCall)
+	if err != nil {
+		return once.Answer{}, &once.LostError{Err: err}
+	}
+	defer s.Close()
+	if s.Peer() != owner {
+		return once.Answer{}, &once.LostError{Gone: true, Err: errReplaced}
+	}
+	if err := s.SetDeadline(call.Deadline.Add(answerMargin)); err != nil {
+		return once.Answer{}, &once.LostError{Err: err}
+	}
+	if err := s.Send(callMessage(owner, call)); err != nil {
+		return once.Answer{}, &once.LostError{Sent: !errors.Is(err, mesh.ErrNotSent), Err: err}
+	}
+	var reply forwardpb.ServiceAnswer
+	if err := s.Recv(&reply); err != nil {
+		return once.Answer{}, &once.LostError{Sent: true, Err: err}
+	}
+	return answerOf(&reply)
+}
+
+func callMessage(owner identity.Incarnation, call once.Call) *forwardpb.ServiceCall {
+	return &forwardpb.ServiceCall{
+		Id: call.ID, Ticket: call.Ticket, Organisation: call.Organisation, Service: call.Service,
+		Method: call.Method, Path: call.Path, Header: headersOf(call.Header), Body: call.Body,
+		TimeLeftMs: timeLeft(call.Deadline), Owner: owner.String(), Dedupes: call.Dedupes,
+	}
+}
+
+func answerOf(reply *forwardpb.ServiceAnswer) (once.Answer, error) {
+	if f := reply.GetFailure(); f != nil {
+		return once.Answer{}, errorOf(f)
+	}
+	result := outcome.Done
+	if reply.GetStatus() >= http.StatusInternalServerError {
+		result = outcome.Failed
+	}
+	return once.Answer{Outcome: result, Status: int(reply.GetStatus()), Header: headerOf(reply.GetHeader()), Body: reply.GetBody()}, nil
+}
+
+func serveCall(ctx context.Context, s *mesh.Stream, owner Owner) error {
+	var msg forwardpb.ServiceCall
+	if err := s.Recv(&msg); err != nil {
+		return err
+	}
+	reply := &forwardpb.ServiceAnswer{}
+	answer, err := execute(ctx, &msg, owner)
+	if err != nil {
+		reply.Failure = failureOf(err)
+	} else {
+		reply.Status = int32(answer.Status) //nolint:gosec // an HTTP status
+		reply.Header = headersOf(answer.Header)
+		reply.Body = answer.Body
+	}
+	return s.Send(reply)
+}
+
+func execute(ctx context.Context, msg *forwardpb.ServiceCall, owner Owner) (once.Answer, error) {
+	return owner.Execute(ctx, once.Call{
+		ID: msg.GetId(), Ticket: msg.GetTicket(), Organisation: msg.GetOrganisation(), Service: msg.GetService(),
+		Method: msg.GetMethod(), Path: msg.GetPath(), Header: headerOf(msg.GetHeader()), Body: msg.GetBody(),
+		Deadline: deadlineOf(msg.GetTimeLeftMs()), Dedupes: msg.GetDedupes(),
+	})
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,80 @@
+// Package forward brings requests to the host that must run them: calls to the
+// owner of their ticket, prompts to a host of another failure domain, and
+// closed ledgers to the hosts that keep them.
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/forward/forwardpb"
+	"github.com/plantainrun/plantainrun/internal/mesh"
+)
+
+// Methods on the mesh.
+const (
+	methodCall   = mesh.ForwardPrefix + "service-call"
+	methodPrompt = mesh.ForwardPrefix + "prompt"
+	methodHand   = mesh.ForwardPrefix + "ledger-handover"
+	methodQuery  = mesh.ForwardPrefix + "ledger-query"
+)
+
+// answerMargin is how much longer than the call's deadline a host waits for
+// the owner's answer, which is final by then.
+const answerMargin = 2 * time.Second
+
+// Mesh opens streams to other hosts and serves theirs.
+type Mesh interface {
+	Open(ctx context.Context, host, method string) (*mesh.Stream, error)
+	Handle(method string, h mesh.Handler)
+}
+
+func failureOf(err error) *forwardpb.Failure {
+	e := apierror.From(err)
+	return &forwardpb.Failure{
+		Kind:         string(e.Kind),
+		Message:      e.Message,
+		Remedy:       e.Remedy,
+		Outcome:      uint32(e.Outcome),
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+		Ticket:       e.Ticket,
+	}
+}
+
+func errorOf(f *forwardpb.Failure) *apierror.Error {
+	result := outcome.Unknown
+	if f.GetOutcome() <= uint32(outcome.Failed) {
+		result = outcome.Outcome(f.GetOutcome())
+	}
+	e := apierror.New(apierror.Kind(f.GetKind()), result, f.GetRemedy(), "%s", f.GetMessage())
+	e.RetryAfter = time.Duration(f.GetRetryAfterMs()) * time.Millisecond
+	e.Ticket = f.GetTicket()
+	return e
+}
+
+func headersOf(h http.Header) []*forwardpb.Header {
+	out := make([]*forwardpb.Header, 0, len(h))
+	for name, values := range h {
+		out = append(out, &forwardpb.Header{Name: name, Values: values})
+	}
+	return out
+}
+
+func headerOf(fields []*forwardpb.Header) http.Header {
+	out := make(http.Header, len(fields))
+	for _, f := range fields {
+		out[f.GetName()] = f.GetValues()
+	}
+	return out
+}
+
+func timeLeft(deadline time.Time) int64 {
+	return max(time.Until(deadline).Milliseconds(), 0)
+}
+
+func deadlineOf(leftMS int64) time.Time {
+	return time.Now().Add(time.Duration(max(leftMS, 0)) * time.Millisecond)
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,65 @@
+// Package logging builds the process's structured logger and sends the log
+// lines of go-zero through it. Counters come first; lines are written only for
+// changes of state.
+package logging
+
+import (
+	"fmt"
+
+	"github.com/zeromicro/go-zero/core/load"
+	"github.com/zeromicro/go-zero/core/logx"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// New returns a JSON logger on standard error at the given level.
+func New(level string) (*zap.Logger, error) {
+	lvl, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log level %q is not one of debug, info, warn, error: %w", level, err)
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(lvl)
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.Sampling = nil
+	return cfg.Build()
+}
+
+// Route sends go-zero's log lines to logger and switches its periodic
+// statistics off. It acts on the whole process.
+func Route(logger *zap.Logger) {
+	load.Disable()
+	logx.DisableStat()
+	logx.SetLevel(logx.ErrorLevel)
+	logx.SetWriter(&zapWriter{logger: logger.With(zap.String("component", "go-zero"))})
+}
+
+type zapWriter struct{ logger *zap.Logger }
+
+func (w *zapWriter) Alert(v any)  { w.logger.Error(fmt.Sprint(v)) }
+func (w *zapWriter) Close() error { return nil }
+func (w *zapWriter) Debug(v any, fields ...logx.LogField) {
+	w.logger.Debug(fmt.Sprint(v), toZap(fields)...)
+}
+func (w *zapWriter) Error(v any, fields ...logx.LogField) {
+	w.logger.Error(fmt.Sprint(v), toZap(fields)...)
+}
+func (w *zapWriter) Info(v any, fields ...logx.LogField) {
+	w.logger.Info(fmt.Sprint(v), toZap(fields)...)
+}
+func (w *zapWriter) Severe(v any) { w.logger.Error(fmt.Sprint(v)) }
+func (w *zapWriter) Slow(v any, fields ...logx.LogField) {
+	w.logger.Debug(fmt.Sprint(v), toZap(fields)...)
+}
+func (w *zapWriter) Stack(v any) { w.logger.Error(fmt.Sprint(v)) }
+func (w *zapWriter) Stat(v any, fields ...logx.LogField) {
+	w.logger.Debug(fmt.Sprint(v), toZap(fields)...)
+}
+
+func toZap(fields []logx.LogField) []zap.Field {
+	out := make([]zap.Field, 0, len(fields))
+	for _, f := range fields {
+		out = append(out, zap.Any(f.Key, f.Value))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/openai/openai.go
@@ -0,0 +1,150 @@
+// Package openai holds the messages that OpenAI clients send and read, as far
+// as plantainrun serves them: completions and chat completions, whole or
+// streamed. Source: the OpenAI API reference, "Completions" and "Chat".
+package openai
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Object names in answers.
+const (
+	ObjectCompletion = "text_completion"
+	ObjectChat       = "chat.completion"
+	ObjectChatChunk  = "chat.completion.chunk"
+)
+
+// DoneLine ends a stream that is whole.
+const DoneLine = "[DONE]"
+
+// Request is the body of both endpoints.
+type Request struct {
+	Model     string          `json:"model"`
+	Adapter   string          `json:"adapter"`
+	Prompt    string          `json:"prompt"`
+	Messages  []Message       `json:"messages"`
+	MaxTokens *int            `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+	Stop      StringList      `json:"stop"`
+	N         *int            `json:"n"`
+	Options   json.RawMessage `json:"stream_options"`
+}
+
+// Message is one turn of a chat.
+type Message struct {
+	Role    string  `json:"role"`
+	Content Content `json:"content"`
+}
+
+// Content is a turn's text, sent as a string or as a list of text parts.
+type Content string
+
+// UnmarshalJSON accepts a string or a list of parts of type "text".
+func (c *Content) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err == nil {
+		*c = Content(s)
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(b, &parts); err != nil {
+		return errors.New("content must be a string or a list of text parts")
+	}
+	var text strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return fmt.Errorf("content part of type %q is not served, send type \"text\"", p.Type)
+		}
+		text.WriteString(p.Text)
+	}
+	*c = Content(text.String())
+	return nil
+}
+
+// StringList is a list of strings; a single string counts as a list of one.
+type StringList []string
+
+// UnmarshalJSON accepts null, a string or a list of strings.
+func (l *StringList) UnmarshalJSON(b []byte) error {
+	var one string
+	if err := json.Unmarshal(b, &one); err == nil {
+		*l = nil
+		if one != "" {
+			*l = StringList{one}
+		}
+		return nil
+	}
+	var many []string
+	if err := json.Unmarshal(b, &many); err != nil {
+		return errors.New("stop must be a string or a list of strings")
+	}
+	*l = many
+	return nil
+}
+
+// ChatPrompt joins the turns of a chat into one prompt.
+func ChatPrompt(messages []Message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString("<|")
+		b.WriteString(m.Role)
+		b.WriteString("|>\n")
+		b.WriteString(string(m.Content))
+		b.WriteString("\n")
+	}
+	b.WriteString("<|assistant|>\n")
+	return b.String()
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Turn is a chat answer or a piece of one.
+type Turn struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// Choice is one answer or a piece of it.
+type Choice struct {
+	Index        int     `json:"index"`
+	Text         *string `json:"text,omitempty"`
+	Message      *Turn   `json:"message,omitempty"`
+	Delta        *Turn   `json:"delta,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// Response is a whole answer or one event of a stream.
+type Response struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// ErrorBody is the one JSON form of errors.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail says what happened, whether the request was run, and what to do.
+type ErrorDetail struct {
+	Kind              string  `json:"kind"`
+	Message           string  `json:"message"`
+	Remedy            string  `json:"remedy,omitempty"`
+	Run               string  `json:"run"` // "not_run", "ran" or "unknown"
+	RetryAfterSeconds float64 `json:"retry_after_seconds,omitempty"`
+	Ticket            string  `json:"ticket,omitempty"`
+}
--- /dev/null
+++ b/internal/operator/queries.go
@@ -0,0 +1,59 @@
+package operator
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/audit"
+	"github.com/plantainrun/plantainrun/internal/status"
+)
+
+// Queries read the host's state and change nothing.
+type Queries interface {
+	// Ready returns nil when the host takes requests, or why it does not.
+	Ready() error
+	// Status is the state of the host at a glance.
+	Status() status.Status
+	// Audit returns the newest entries that match, oldest first.
+	Audit(q audit.Query) []audit.Entry
+}
+
+func (i *Interface) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (i *Interface) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := i.queries.Ready(); err != nil {
+		writeError(w, err)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (i *Interface) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, i.queries.Status())
+}
+
+func (i *Interface) audit(w http.ResponseWriter, r *http.Request) {
+	q, err := auditQuery(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, i.queries.Audit(q))
+}
+
+func auditQuery(r *http.Request) (audit.Query, error) {
+	var q audit.Query
+	values := r.URL.Query()
+	q.Subject = values.Get("subject")
+	if limit := values.Get("limit"); limit != "" {
+		n, err := strconv.Atoi(limit)
+		if err != nil || n <= 0 {
+			return q, apierror.NotRun(apierror.KindBadRequest, "give a whole number above zero", "limit is %q", limit)
+		}
+		q.Limit = n
+	}
+	return q, nil
+}
--- /dev/null
+++ b/internal/status/status.go
@@ -0,0 +1,72 @@
+// Package status holds what an operator sees of one host at a glance.
+package status
+
+import "time"
+
+// Status is the state of one host.
+type Status struct {
+	Host        string           `json:"host"`
+	Incarnation string           `json:"incarnation"`
+	Version     string           `json:"version"`
+	Partner     string           `json:"partner"`
+	Domain      string           `json:"failure_domain"`
+	Ready       bool             `json:"ready"`
+	NotReady    string           `json:"not_ready_because,omitempty"`
+	Draining    bool             `json:"draining"`
+	UpSeconds   float64          `json:"up_seconds"`
+	Values      []Value          `json:"values"`
+	Reader      bool             `json:"reader"`
+	Peers       []Peer           `json:"peers"`
+	Targets     []Target         `json:"targets"`
+	Queued      int              `json:"queued"`
+	Quarantined []Quarantine     `json:"quarantined"`
+	Tickets     Tickets          `json:"tickets"`
+	Refusals    []RefusalCounter `json:"refusals"`
+}
+
+// Value is one published value as this host knows it.
+type Value struct {
+	Key        string  `json:"key"`
+	Revision   uint64  `json:"revision"`
+	AgeSeconds float64 `json:"age_seconds"` // since the last confirmation
+	Source     string  `json:"source"`
+	Problem    string  `json:"problem,omitempty"`
+}
+
+// Peer is the link to another host.
+type Peer struct {
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation,omitempty"`
+	State       string `json:"state"`
+}
+
+// Target is one target as this host sees it.
+type Target struct {
+	ID             string  `json:"id"`
+	Model          string  `json:"model"`
+	State          string  `json:"state"`
+	Running        int     `json:"running"`
+	WaitSeconds    float64 `json:"predicted_wait_seconds"`
+	MemoryReserved int     `json:"memory_reserved_tokens"`
+	MemoryTotal    int     `json:"memory_total_tokens"`
+}
+
+// Quarantine is one refused fingerprint.
+type Quarantine struct {
+	Fingerprint string    `json:"fingerprint"`
+	Until       time.Time `json:"until"`
+}
+
+// Tickets counts the tickets that this host owns.
+type Tickets struct {
+	Held          int   `json:"held"`
+	Capacity      int   `json:"capacity"`
+	Bytes         int64 `json:"bytes"`
+	ClosedLedgers int   `json:"closed_ledgers"`
+}
+
+// RefusalCounter counts the errors of one kind.
+type RefusalCounter struct {
+	Kind  string `json:"kind"`
+	Count int64  `json:"count"`
+}
