Add the engines' client and a stand-in engine

The callers' path needs one attempt at an engine as one call with a typed outcome, and something to talk to.

The client gives each token to its sink once and in order. A connection that is silent, lost or wrong is replaced by a new one, on which the stream is resumed; an answer that stays wrong is a typed error. A prompt is escaped while it is written, so an attempt copies none of it: keeping an escaped copy per request was ruled out, since it doubles the memory of a long prompt. Whether a byte of a request can have left is read from the connection, which is closed for writing first; the transport's errors do not tell.

The stand-in serves the protocol in real time on the engine model and takes faults by a control endpoint.

go test -race -count=3 ./internal/engine/... passes over loopback.

--- /dev/null
+++ b/internal/engine/query.go
@@ -0,0 +1,179 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/internal/engineapi"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+const (
+	longestAnswer  = 16 << 20 // bytes
+	longestCommand = 5 * time.Second
+)
+
+// Load asks for the engine's load report. The call ends with ctx.
+func (c *Client) Load(ctx context.Context, target topology.Target) (engineapi.LoadReport, error) {
+	var report engineapi.LoadReport
+	err := c.query(ctx, target, engineapi.PathLoad, &report)
+	return report, err
+}
+
+// CacheEvents asks for the cache events after the sequence number. A Next below
+// after means that the engine has started anew.
+func (c *Client) CacheEvents(ctx context.Context, target topology.Target, after uint64) (engineapi.CacheEvents, error) {
+	var events engineapi.CacheEvents
+	err := c.query(ctx, target, engineapi.PathCacheEvents+"?after="+strconv.FormatUint(after, 10), &events)
+	return events, err
+}
+
+// Held lists what pins the engine's memory.
+func (c *Client) Held(ctx context.Context, target topology.Target) ([]engineapi.Held, error) {
+	var list engineapi.HeldList
+	err := c.query(ctx, target, engineapi.PathStreams, &list)
+	return list.Held, err
+}
+
+// State reads what the engine runs.
+func (c *Client) State(ctx context.Context, target topology.Target) (engineapi.State, error) {
+	var state engineapi.State
+	err := c.query(ctx, target, engineapi.PathState, &state)
+	return state, err
+}
+
+// PutState orders a state, on a fresh connection, and returns the state that
+// the engine answered with. The outcome of an error tells whether the order can
+// have reached the engine; an order with an old fencing number is refused with
+// the reason engineapi.ReasonStaleFencing by engines that check it.
+func (c *Client) PutState(ctx context.Context, target topology.Target, order engineapi.State) (engineapi.State, error) {
+	var state engineapi.State
+	_, err := c.command(ctx, target, http.MethodPut, engineapi.PathState, "", order, &state)
+	return state, err
+}
+
+// ExportKV asks the engine to pin and export a stream's KV memory.
+func (c *Client) ExportKV(ctx context.Context, target topology.Target, req engineapi.KVExportRequest) (engineapi.KVBlock, error) {
+	var block engineapi.KVBlock
+	_, err := c.command(ctx, target, http.MethodPost, engineapi.PathKVExport, req.ID, req, &block)
+	return block, err
+}
+
+// ImportKV gives the engine an exported block; one without data reserves memory.
+func (c *Client) ImportKV(ctx context.Context, target topology.Target, block engineapi.KVBlock) error {
+	_, err := c.command(ctx, target, http.MethodPost, engineapi.PathKVImport, block.ID, block, nil)
+	return err
+}
+
+// ReleaseKV releases a block and reports whether the engine held it.
+func (c *Client) ReleaseKV(ctx context.Context, target topology.Target, id string) (bool, error) {
+	return c.release(ctx, target, engineapi.PathKV, id)
+}
+
+// CancelStream cancels a stream and reports whether the engine held it. It
+// tries once; Canceller tries until it is acknowledged.
+func (c *Client) CancelStream(ctx context.Context, target topology.Target, id string) (bool, error) {
+	return c.release(ctx, target, engineapi.PathStreams, id)
+}
+
+func (c *Client) sendCancel(ctx context.Context, target topology.Target, id string) (bool, error) {
+	return c.CancelStream(ctx, target, id)
+}
+
+// release deletes what the engine holds under path and id.
+func (c *Client) release(ctx context.Context, target topology.Target, path, id string) (bool, error) {
+	status, err := c.command(ctx, target, http.MethodDelete, path+"/"+id, id, nil, nil)
+	if status == http.StatusNotFound {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// query reads path through httpc, whose breaker is the target's own.
+func (c *Client) query(ctx context.Context, target topology.Target, path string, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url(target, path), http.NoBody)
+	if err != nil {
+		return err
+	}
+	p := c.peer(target)
+	cli := &http.Client{Transport: p.pooled}
+	resp, err := httpc.NewServiceWithClient("engine/"+target.ID, cli).DoRequest(req)
+	if err != nil {
+		p.pooled.CloseIdleConnections()
+		return &Error{Kind: KindUnreachable, Outcome: outcome.Unknown, Target: target.ID, Cause: err}
+	}
+	defer resp.Body.Close()
+	return decode(target, resp, answer)
+}
+
+// command sends a change on a fresh connection and returns the answer's status.
+func (c *Client) command(ctx context.Context, target topology.Target, method, path, id string, body, answer any) (int, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, &Error{Kind: KindInvalid, Outcome: outcome.NotRun, Target: target.ID, Cause: err}
+	}
+	if body == nil {
+		data = nil
+	}
+	req, err := http.NewRequest(method, url(target, path), bytes.NewReader(data))
+	if err != nil {
+		return 0, &Error{Kind: KindInvalid, Outcome: outcome.NotRun, Target: target.ID, Cause: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(engineapi.HeaderRequestID, id)
+	x, err := startExchange(ctx, c.peer(target), req, true, longestCommand)
+	defer x.abandon()
+	if err != nil {
+		return 0, commandError(target, x, err)
+	}
+	x.expect(longestCommand)
+	if echoed := x.resp.Header.Get(engineapi.HeaderRequestID); echoed != id {
+		return 0, &Error{Kind: KindIncomplete, Outcome: outcome.Unknown, Target: target.ID, Cause: faultCrossed}
+	}
+	return x.resp.StatusCode, decode(target, x.resp, answer)
+}
+
+// commandError is the error of a command that got no answer.
+func commandError(target topology.Target, x *exchange, err error) error {
+	if x.written() {
+		return &Error{Kind: KindLost, Outcome: outcome.Unknown, Target: target.ID, Cause: err}
+	}
+	return &Error{Kind: KindUnreachable, Outcome: outcome.NotRun, Target: target.ID, Cause: err}
+}
+
+// decode reads an answer or refusal. A nil answer is not read.
+func decode(target topology.Target, resp *http.Response, answer any) error {
+	body := json.NewDecoder(io.LimitReader(resp.Body, longestAnswer))
+	if resp.StatusCode/100 != 2 {
+		return refusalError(target, resp, body)
+	}
+	if answer == nil || resp.StatusCode == http.StatusNoContent {
+		return nil
+	}
+	if err := body.Decode(answer); err != nil {
+		cause := errors.Join(errors.New("answer is cut short or is not JSON"), err)
+		return &Error{Kind: KindIncomplete, Outcome: outcome.Unknown, Target: target.ID, Cause: cause}
+	}
+	return nil
+}
+
+func refusalError(target topology.Target, resp *http.Response, body *json.Decoder) *Error {
+	failed := &Error{Kind: KindRefused, Outcome: refusalOutcome(resp), Target: target.ID}
+	var refusal engineapi.Refusal
+	if err := body.Decode(&refusal); err != nil {
+		failed.Cause = fmt.Errorf("refusal with status %s has no readable body: %w", resp.Status, err)
+		return failed
+	}
+	failed.Reason, failed.Detail = refusal.Reason, refusal.Detail
+	return failed
+}
--- /dev/null
+++ b/internal/engine/standin_test.go
@@ -0,0 +1,151 @@
+package engine_test
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/internal/engine"
+	"github.com/plantainrun/plantainrun/internal/engineapi"
+	standin "github.com/plantainrun/plantainrun/internal/standin/engine"
+	"github.com/plantainrun/plantainrun/internal/standin/enginemodel"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+const model = "assistant"
+
+func quickSettings() standin.Settings {
+	return standin.Settings{
+		ID: "e1", State: engineapi.State{Model: model, Serving: true},
+		Model: enginemodel.Config{
+			MemoryTokens: 100_000, PrefillRate: 1e6, DecodeInterval: time.Millisecond, CacheTokens: 10_000, Grace: time.Second,
+		},
+	}
+}
+
+// startEngine starts a stand-in on loopback.
+func startEngine(t *testing.T, settings standin.Settings) (*standin.Engine, topology.Target) {
+	t.Helper()
+	e := standin.New(settings)
+	if err := e.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e, topology.Target{ID: settings.ID, Kind: topology.KindEngine, Addr: netip.MustParseAddrPort(e.Addr().String())}
+}
+
+func newClient(t *testing.T) *engine.Client {
+	t.Helper()
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) })
+	c := engine.New(engine.Options{})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func request(id, prompt string, tokens int) engineapi.GenerateRequest {
+	return engineapi.GenerateRequest{
+		ID: id, Owner: "host@1", Model: model, Prompt: prompt, MaxTokens: tokens,
+		DeadlineMS: time.Now().Add(time.Minute).UnixMilli(),
+	}
+}
+
+// collect runs one attempt and returns the text that reached the sink.
+func collect(c *engine.Client, target topology.Target, req engineapi.GenerateRequest) (string, engine.Result, error) {
+	var text strings.Builder
+	result, err := c.Generate(context.Background(), target, req, func(chunk engineapi.Chunk) error {
+		text.WriteString(chunk.Token)
+		return nil
+	})
+	return text.String(), result, err
+}
+
+func TestWholeAnswerOverLoopback(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, target := startEngine(t, quickSettings())
+	c := newClient(t)
+	prompt := "Which glue for oak? \"quoted\"\n\tand \\ and \x01 and æøå 北海道" + strings.Repeat("x", 10_000)
+	text, result, err := collect(c, target, request("r1", prompt, 20))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(text).To(gomega.Equal(standin.Answer(prompt, 20)))
+	g.Expect(result.Outcome).To(gomega.Equal(outcome.Done))
+	g.Expect(result.Usage.OutputTokens).To(gomega.Equal(20))
+}
+
+// Each fault is mended on a new connection, and the sink sees each token once.
+func TestSpoiltAnswersAreMended(t *testing.T) {
+	e, target := startEngine(t, quickSettings())
+	c := newClient(t)
+	kinds := []standin.FaultKind{
+		standin.FaultCut, standin.FaultShort, standin.FaultWrongCount, standin.FaultCrossed,
+		standin.FaultDuplicate, standin.FaultSkip, standin.FaultLate,
+	}
+	for _, kind := range kinds {
+		t.Run(string(kind), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			e.Control(standin.Control{Answers: []standin.Fault{{Kind: kind, At: 3}, {Kind: kind, At: 5}}})
+			text, result, err := collect(c, target, request("spoilt-"+string(kind), "prompt", 20))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(text).To(gomega.Equal(standin.Answer("prompt", 20)))
+			g.Expect(result.Resumes).To(gomega.BeNumerically(">=", 1))
+		})
+	}
+}
+
+// An answer that stays wrong is an error and never a short success.
+func TestAnswerThatStaysWrongIsIncomplete(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e, target := startEngine(t, quickSettings())
+	c := newClient(t)
+	var faults []standin.Fault
+	for range 20 {
+		faults = append(faults, standin.Fault{Kind: standin.FaultWrongCount})
+	}
+	e.Control(standin.Control{Answers: faults})
+	_, result, err := collect(c, target, request("r1", "prompt", 5))
+	g.Expect(err).To(gomega.MatchError(&engine.Error{Kind: engine.KindIncomplete}))
+	g.Expect(result.Outcome).To(gomega.Equal(outcome.Unknown))
+}
+
+func TestRefusalsAreNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e, target := startEngine(t, quickSettings())
+	c := newClient(t)
+	refusal := func(req engineapi.GenerateRequest) string {
+		_, result, err := collect(c, target, req)
+		var failed *engine.Error
+		g.Expect(err).To(gomega.BeAssignableToTypeOf(failed))
+		g.Expect(result.Outcome).To(gomega.Equal(outcome.NotRun))
+		return err.(*engine.Error).Reason //nolint:errorlint // checked above
+	}
+	g.Expect(refusal(request("big", "prompt", 200_000))).To(gomega.Equal(engineapi.ReasonNoMemory))
+	wrong := request("wrong", "prompt", 1)
+	wrong.Model = "other"
+	g.Expect(refusal(wrong)).To(gomega.Equal(engineapi.ReasonWrongModel))
+	leave := true
+	e.Control(standin.Control{Leave: &leave})
+	g.Expect(refusal(request("late", "prompt", 1))).To(gomega.Equal(engineapi.ReasonLeaving))
+	nobody := topology.Target{ID: "nobody", Addr: netip.MustParseAddrPort("127.0.0.1:1")}
+	_, result, err := collect(c, nobody, request("r", "prompt", 1))
+	g.Expect(err).To(gomega.MatchError(&engine.Error{Kind: engine.KindUnreachable}))
+	g.Expect(result.Outcome).To(gomega.Equal(outcome.NotRun))
+	g.Expect(e.Counts().Submitted).To(gomega.BeEmpty())
+}
+
+// A sink that gives up gets the engine's memory back.
+func TestStreamIsCancelledWhenTheSinkGivesUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e, target := startEngine(t, quickSettings())
+	c := newClient(t)
+	_, err := c.Generate(t.Context(), target, request("r1", "prompt", 50_000), func(engineapi.Chunk) error { return context.Canceled })
+	g.Expect(err).To(gomega.MatchError(&engine.Error{Kind: engine.KindSink}))
+	g.Expect(c.Canceller().Drain(t.Context())).To(gomega.Succeed())
+	g.Expect(e.Used()).To(gomega.BeZero())
+	g.Expect(c.Stats().Cancels.Acknowledged).To(gomega.Equal(uint64(1)))
+}
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -139,8 +139,21 @@
 	Data       []byte `json:"data,omitempty"`
 }
 
+// The reasons of a Refusal.
+const (
+	ReasonBusy         = "busy"
+	ReasonLeaving      = "leaving"
+	ReasonNoMemory     = "no_memory"
+	ReasonWrongModel   = "wrong_model"
+	ReasonLoading      = "loading"
+	ReasonStaleFencing = "stale_fencing"
+	ReasonNotFound     = "not_found"
+	ReasonDuplicate    = "duplicate" // the engine already has something of this id
+	ReasonInvalid      = "invalid"   // the request cannot be read
+)
+
 // Refusal is the body of an engine's refusal.
 type Refusal struct {
-	Reason string `json:"reason"` // "busy", "leaving", "no_memory", "wrong_model", "loading", "stale_fencing", "not_found"
+	Reason string `json:"reason"`
 	Detail string `json:"detail,omitempty"`
 }
--- /dev/null
+++ b/internal/standin/engine/handler.go
@@ -0,0 +1,88 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/engineapi"
+)
+
+// Handler serves the engine protocol.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+engineapi.PathGenerate, e.generate)
+	mux.HandleFunc("GET "+engineapi.PathStreams, e.held)
+	mux.HandleFunc("GET "+engineapi.PathStreams+"/{id}", e.resume)
+	mux.HandleFunc("DELETE "+engineapi.PathStreams+"/{id}", e.cancel)
+	mux.HandleFunc("GET "+engineapi.PathLoad, e.load)
+	mux.HandleFunc("GET "+engineapi.PathCacheEvents, e.cacheEvents)
+	mux.HandleFunc("GET "+engineapi.PathState, e.getState)
+	mux.HandleFunc("PUT "+engineapi.PathState, e.putState)
+	mux.HandleFunc("POST "+engineapi.PathKVExport, e.exportKV)
+	mux.HandleFunc("POST "+engineapi.PathKVImport, e.importKV)
+	mux.HandleFunc("DELETE "+engineapi.PathKV+"/{id}", e.releaseKV)
+	mux.HandleFunc("POST "+engineapi.PathControl, e.control)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != engineapi.PathControl && e.down() {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(engineapi.HeaderRequestID, r.Header.Get(engineapi.HeaderRequestID))
+		if e.isLeaving() {
+			w.Header().Set(engineapi.HeaderLeaving, "1")
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (e *Engine) isLeaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
+func (e *Engine) down() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model.Down()
+}
+
+func (e *Engine) held(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	e.advance(time.Now())
+	list := engineapi.HeldList{Held: e.model.Held()}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	report := e.model.Load(time.Now())
+	report.Model = e.state.Model
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, report)
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, engineapi.ReasonInvalid, true)
+		return
+	}
+	e.mu.Lock()
+	now := time.Now()
+	e.advance(now)
+	events := e.events.after(now, after)
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, events)
+}
+
+// decodeJSON reads a command's body, or refuses it.
+func decodeJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, longestBody)).Decode(v); err != nil {
+		refuse(w, http.StatusBadRequest, engineapi.ReasonInvalid, true)
+		return false
+	}
+	return true
+}
--- a/internal/standin/enginemodel/model.go
+++ b/internal/standin/enginemodel/model.go
@@ -47,8 +47,11 @@
 	OutputTokens int // length of the answer; 0 or above MaxTokens: MaxTokens
 	Priority     int // lower runs first
 	PromptBytes  int
-	Prefixes     []uint64 // hashes of the leading blocks, shortest first
-	BlockTokens  int      // tokens in one block
+	// ReserveTokens is the memory to reserve, for a prompt that is held in
+	// parts; 0: PromptTokens plus MaxTokens.
+	ReserveTokens int
+	Prefixes      []uint64 // hashes of the leading blocks, shortest first
+	BlockTokens   int      // tokens in one block
 }
 
 // Kind is the kind of an Event.
@@ -84,6 +87,7 @@
 	ID     string
 	Kind   Kind
 	Tokens int
+	Cached int // with FirstToken: prompt tokens that the cache held
 }
 
 // Engine is the model of one engine.
@@ -161,7 +165,10 @@
 // returns ErrDown, ErrLeaving, ErrDuplicate or ErrNoMemory when it does not.
 func (e *Engine) Submit(now time.Time, job Job) error {
 	e.run(now)
-	need := job.PromptTokens + job.MaxTokens
+	need := job.ReserveTokens
+	if need <= 0 {
+		need = job.PromptTokens + job.MaxTokens
+	}
 	if err := e.admissible(job.ID, need); err != nil {
 		return err
 	}
--- a/internal/standin/enginemodel/run.go
+++ b/internal/standin/enginemodel/run.go
@@ -145,7 +145,7 @@
 	s.first = e.work
 	s.last = e.work + float64(s.output-1)*e.interval()
 	e.decode.push(s)
-	e.tell(s, FirstToken, 1)
+	e.pending = append(e.pending, Event{At: e.at, ID: s.job.ID, Kind: FirstToken, Tokens: 1, Cached: s.cached})
 	s.told = 1
 }
 
