Add cost, fair queues, memory reservation, shares and the scheduler

Cause: requests need an order, a target and engine memory before they are sent, without state shared between hosts.

cost learns bytes per token and rates from load reports. fairqueue is start-time fair queueing on two levels. share splits a limit over hosts: shrink at once, grow after a settling time, lend by message with terms that need no common clock. memory reserves tokens all or nothing on top of share. schedule admits by predicted finish, orders by due time of the first token, picks by predicted first token, and gives a waiting request up at the moment it can no longer finish.

Weighed for memory: one owner host per engine (each request crosses two hosts and an engine idles while its owner's death is noticed) and grants by the rendezvous host (two owners while views differ); parts with loans keep the sum within the engine's memory under any views within the settling time.

Policies are not measured yet.

--- /dev/null
+++ b/coord/share/seed_test.go
@@ -0,0 +1,6 @@
+package share_test
+
+import "flag"
+
+// Fuzzing draws the same cases in each run.
+func init() { _ = flag.Set("rapid.seed", "1") }
--- /dev/null
+++ b/coord/share/share.go
@@ -0,0 +1,286 @@
+// Package share splits a limit over hosts that share no state. Each host owns
+// the limit divided by the number of hosts, and lends what it does not use to a
+// peer by message.
+//
+// Three rules keep the sum of what all hosts may use within the limit:
+//
+//   - A host takes a smaller share at once and a larger one only after
+//     Config.Settle, by when every other host has taken its smaller one.
+//   - A lender gives a loan up before the borrower has it, and takes it back
+//     only when it has expired at the borrower. The borrower counts the term from when it
+//     asked, the lender from when it lent, each on its own clock, so the offset
+//     between the clocks does not matter. Config.Drift covers their rates.
+//   - Borrowed amounts are not lent on.
+//
+// If every host learns of a change of membership within Settle of the first
+// one, the sum never exceeds the limit. Where views differ for longer, it is at
+// most limit * (1/n1 + 1/n2 + ...), with ni the count of hosts in host i's view.
+package share
+
+import (
+	"time"
+)
+
+// DefaultDrift is how much faster a borrower's clock may run, as a fraction.
+const DefaultDrift = 0.02
+
+// Config sets up a Split.
+type Config struct {
+	// Self names this process; a new process of the same host has a new name.
+	Self string
+	// Settle is how long a larger share waits before it is used; zero: no wait.
+	Settle time.Duration
+	// MaxTerm is the longest term of a loan; zero: no bound. With terms up to Settle
+	// the sum keeps within the limit also when a lender's share shrinks.
+	MaxTerm time.Duration
+	// Drift bounds how far the rates of two clocks differ; zero: DefaultDrift.
+	Drift float64
+}
+
+// LoanID names a loan. The borrower chooses it.
+type LoanID struct {
+	Borrower string `json:"borrower"`
+	Seq      uint64 `json:"seq"`
+}
+
+// Ask is a borrower's message to a lender. An Ask with the ID of a running
+// loan renews it.
+type Ask struct {
+	ID     LoanID        `json:"id"`
+	Round  uint64        `json:"round"`
+	Key    string        `json:"key"`
+	Amount float64       `json:"amount"`
+	Term   time.Duration `json:"term"`
+}
+
+// Loan is a lender's answer to an Ask.
+type Loan struct {
+	ID     LoanID  `json:"id"`
+	Round  uint64  `json:"round"`
+	Key    string  `json:"key"`
+	Amount float64 `json:"amount"`
+}
+
+type heldLoan struct {
+	amount float64
+	until  time.Time
+}
+
+type pendingAsk struct {
+	id     LoanID
+	amount float64
+	until  time.Time // of the loan, should it come
+}
+
+// Split is one host's part of one limit. It is not safe for concurrent use.
+// The times given to it must not go back.
+type Split struct {
+	cfg   Config
+	key   string
+	limit float64
+	count int
+
+	own     float64 // in force
+	next    float64 // a larger share that is not yet in force
+	nextAt  time.Time
+	waiting bool
+
+	lent     map[LoanID]heldLoan
+	borrowed map[LoanID]heldLoan
+	asks     map[uint64]pendingAsk
+	seq      uint64
+}
+
+// NewSplit returns a Split that owns nothing.
+func NewSplit(cfg Config, key string) *Split {
+	if cfg.Drift <= 0 {
+		cfg.Drift = DefaultDrift
+	}
+	return &Split{
+		cfg: cfg, key: key,
+		lent: map[LoanID]heldLoan{}, borrowed: map[LoanID]heldLoan{}, asks: map[uint64]pendingAsk{},
+	}
+}
+
+// Set sets the whole limit and the number of hosts that share it, this one
+// included. A count of zero means that this host has no share.
+func (s *Split) Set(now time.Time, limit float64, count int) {
+	s.Advance(now)
+	s.limit, s.count = limit, count
+	want := 0.
+	if count > 0 {
+		want = limit / float64(count)
+	}
+	switch {
+	case want <= s.own || s.cfg.Settle <= 0:
+		s.own, s.waiting = want, false
+	case !s.waiting || s.next != want:
+		s.next, s.nextAt, s.waiting = want, now.Add(s.cfg.Settle), true
+	}
+}
+
+// Settled puts a larger share in force at once. Call it when every other host
+// that shares the limit has confirmed that it uses no more than its own part.
+func (s *Split) Settled(now time.Time) {
+	s.Advance(now)
+	if s.waiting {
+		s.own, s.waiting = s.next, false
+	}
+}
+
+// Waiting reports whether a larger share is not yet in force.
+func (s *Split) Waiting() bool { return s.waiting }
+
+// Own is the share that the host owns, lent parts included.
+func (s *Split) Own() float64 { return s.own }
+
+// Available is what the host may use: its own share less what it lent, and
+// what it borrowed.
+func (s *Split) Available() float64 {
+	return max(0, s.own-sum(s.lent)) + sum(s.borrowed)
+}
+
+// Lendable is the part of the host's own share that is not lent.
+func (s *Split) Lendable() float64 { return max(0, s.own-sum(s.lent)) }
+
+// Next is when Available changes by itself; false when it does not.
+func (s *Split) Next() (time.Time, bool) {
+	var next time.Time
+	found := s.waiting
+	if found {
+		next = s.nextAt
+	}
+	for _, loans := range []map[LoanID]heldLoan{s.lent, s.borrowed} {
+		for _, l := range loans {
+			if !found || l.until.Before(next) {
+				next, found = l.until, true
+			}
+		}
+	}
+	return next, found
+}
+
+// Advance lets everything up to now take effect. At the end of its term a
+// borrowed amount is gone and a lent one is back.
+func (s *Split) Advance(now time.Time) {
+	if s.waiting && !now.Before(s.nextAt) {
+		s.own, s.waiting = s.next, false
+	}
+	drop(s.lent, now)
+	drop(s.borrowed, now)
+	for round, a := range s.asks {
+		if !now.Before(a.until) {
+			delete(s.asks, round)
+		}
+	}
+}
+
+// Ask returns a message that asks a peer for a loan.
+func (s *Split) Ask(now time.Time, amount float64, term time.Duration) Ask {
+	s.seq++
+	return s.ask(now, LoanID{Borrower: s.cfg.Self, Seq: s.seq}, amount, term)
+}
+
+// Renew returns a message that asks the lender to run a loan for another term.
+// It reports false when the host does not have the loan.
+func (s *Split) Renew(now time.Time, id LoanID, term time.Duration) (Ask, bool) {
+	s.Advance(now)
+	l, ok := s.borrowed[id]
+	if !ok {
+		return Ask{}, false
+	}
+	return s.ask(now, id, l.amount, term), true
+}
+
+func (s *Split) ask(now time.Time, id LoanID, amount float64, term time.Duration) Ask {
+	if s.cfg.MaxTerm > 0 {
+		term = min(term, s.cfg.MaxTerm)
+	}
+	s.seq++
+	s.asks[s.seq] = pendingAsk{id: id, amount: amount, until: now.Add(term)}
+	return Ask{ID: id, Round: s.seq, Key: s.key, Amount: amount, Term: term}
+}
+
+// Lend gives up part of the host's own share, at most spare, and returns the
+// message that hands it over. It reports false when there is nothing to lend.
+// An Ask that renews a running loan needs no further spare.
+func (s *Split) Lend(now time.Time, ask Ask, spare float64) (Loan, bool) {
+	s.Advance(now)
+	if ask.Term <= 0 || ask.Key != s.key || (s.cfg.MaxTerm > 0 && ask.Term > s.cfg.MaxTerm) {
+		return Loan{}, false
+	}
+	hold := time.Duration(float64(ask.Term) * (1 + s.cfg.Drift))
+	running, renewal := s.lent[ask.ID]
+	if !renewal {
+		running.amount = min(ask.Amount, spare, s.Lendable())
+	}
+	if !(running.amount > 0) {
+		return Loan{}, false
+	}
+	if until := now.Add(hold); until.After(running.until) {
+		running.until = until
+	}
+	s.lent[ask.ID] = running
+	return Loan{ID: ask.ID, Round: ask.Round, Key: s.key, Amount: running.amount}, true
+}
+
+// Accept takes a loan that a peer sent. It reports false for a loan that the
+// host did not ask for or that has expired on the way.
+func (s *Split) Accept(now time.Time, loan Loan) bool {
+	s.Advance(now)
+	a, ok := s.asks[loan.Round]
+	if !ok || a.id != loan.ID || loan.Key != s.key || !(loan.Amount > 0) || loan.Amount > a.amount {
+		return false
+	}
+	delete(s.asks, loan.Round)
+	held := s.borrowed[loan.ID]
+	held.amount = loan.Amount
+	if a.until.After(held.until) {
+		held.until = a.until
+	}
+	s.borrowed[loan.ID] = held
+	return true
+}
+
+// Return gives a borrowed amount up. The caller tells the lender afterwards.
+func (s *Split) Return(now time.Time, id LoanID) bool {
+	s.Advance(now)
+	for round, a := range s.asks {
+		if a.id == id {
+			delete(s.asks, round)
+		}
+	}
+	_, ok := s.borrowed[id]
+	delete(s.borrowed, id)
+	return ok
+}
+
+// Returned takes back a loan that its borrower gave up.
+func (s *Split) Returned(now time.Time, id LoanID) {
+	s.Advance(now)
+	delete(s.lent, id)
+}
+
+// EachBorrowed calls fn for each loan that the host has. fn must not change
+// the Split.
+func (s *Split) EachBorrowed(fn func(id LoanID, amount float64, end time.Time)) {
+	for id, l := range s.borrowed {
+		fn(id, l.amount, l.until)
+	}
+}
+
+func sum(loans map[LoanID]heldLoan) float64 {
+	total := 0.
+	for _, l := range loans {
+		total += l.amount
+	}
+	return total
+}
+
+func drop(loans map[LoanID]heldLoan, now time.Time) {
+	for id, l := range loans {
+		if !now.Before(l.until) {
+			delete(loans, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fairqueue/fairqueue.go
@@ -0,0 +1,315 @@
+// Package fairqueue holds bounded queues that are weighted fair by cost.
+//
+// It is start-time fair queueing (Goyal, Vin and Cheng, "Start-time fair
+// queueing: a scheduling algorithm for integrated services packet switching
+// networks", IEEE/ACM Transactions on Networking, 1997) on two levels: first
+// between partners, then between the organisations of a partner. Cost is in
+// tokens. Within an organisation items leave by rank, lowest first.
+package fairqueue
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// Limits bound the queues. Zero values take the defaults.
+type Limits struct {
+	PerOrganisation int // items
+	PerPartner      int // items
+}
+
+// Default bounds of the queues, in items.
+const (
+	DefaultPerOrganisation = 256
+	DefaultPerPartner      = 1024
+)
+
+// Item is one queued element.
+type Item[T any] struct {
+	Partner      string
+	Organisation string
+	Cost         float64   // tokens; at least one is charged
+	Rank         int64     // lower leaves first within the organisation
+	Expires      time.Time // when Expire removes it
+	Value        T
+
+	seq    uint64
+	slot   int // index in the expiry heap
+	queued bool
+}
+
+// Queue is a set of fair queues. It is not safe for concurrent use.
+type Queue[T any] struct {
+	limits   Limits
+	partners level[*partner[T]]
+	byName   map[string]*partner[T]
+	expiry   expiryHeap[T]
+	seq      uint64
+	count    int
+	cost     float64
+}
+
+type flow struct {
+	weight float64
+	finish float64 // virtual time at which the last served item ended
+}
+
+type partner[T any] struct {
+	flow
+	name   string
+	orgs   level[*organisation[T]]
+	byName map[string]*organisation[T]
+	count  int
+	cost   float64
+}
+
+type organisation[T any] struct {
+	flow
+	name  string
+	items []*Item[T] // ascending by rank
+	cost  float64
+}
+
+// level is one level of the hierarchy with its own virtual time.
+type level[F any] struct {
+	virtual float64
+	flows   []F
+}
+
+// New returns an empty Queue.
+func New[T any](limits Limits) *Queue[T] {
+	if limits.PerOrganisation <= 0 {
+		limits.PerOrganisation = DefaultPerOrganisation
+	}
+	if limits.PerPartner <= 0 {
+		limits.PerPartner = DefaultPerPartner
+	}
+	return &Queue[T]{limits: limits, byName: map[string]*partner[T]{}}
+}
+
+// Len is the number of queued items.
+func (q *Queue[T]) Len() int { return q.count }
+
+// Cost is the sum of the queued items' costs, in tokens.
+func (q *Queue[T]) Cost() float64 { return q.cost }
+
+// SetWeight sets the weight of an organisation among those of its partner.
+// Weights that are not positive count as one.
+func (q *Queue[T]) SetWeight(partnerName, organisationName string, weight float64) {
+	q.organisation(q.partner(partnerName), organisationName).weight = positive(weight)
+}
+
+// Push queues the item. It reports false when the queue of the organisation or
+// partner is full.
+func (q *Queue[T]) Push(it *Item[T]) bool {
+	p := q.partner(it.Partner)
+	o := q.organisation(p, it.Organisation)
+	if len(o.items) >= q.limits.PerOrganisation || p.count >= q.limits.PerPartner {
+		return false
+	}
+	q.seq++
+	it.seq = q.seq
+	it.queued = true
+	it.Cost = max(it.Cost, 1)
+	if p.count == 0 {
+		p.finish = max(p.finish, q.partners.virtual)
+	}
+	if len(o.items) == 0 {
+		o.finish = max(o.finish, p.orgs.virtual)
+	}
+	at := sort.Search(len(o.items), func(i int) bool { return before(it, o.items[i]) })
+	o.items = slices.Insert(o.items, at, it)
+	q.account(p, o, it, 1)
+	q.expiry.push(it)
+	return true
+}
+
+// Remove takes a queued item out without charging its flow.
+func (q *Queue[T]) Remove(it *Item[T]) bool {
+	if !it.queued {
+		return false
+	}
+	p := q.byName[it.Partner]
+	o := p.byName[it.Organisation]
+	at := slices.Index(o.items, it)
+	o.items = slices.Delete(o.items, at, at+1)
+	it.queued = false
+	q.expiry.remove(it)
+	q.account(p, o, it, -1)
+	return true
+}
+
+// Expire removes and returns the items whose time has come, earliest first.
+func (q *Queue[T]) Expire(now time.Time) []*Item[T] {
+	var expired []*Item[T]
+	for {
+		it := q.expiry.first()
+		if it == nil || it.Expires.After(now) {
+			return expired
+		}
+		q.Remove(it)
+		expired = append(expired, it)
+	}
+}
+
+// NextExpiry is when the next item expires; false when none is queued.
+func (q *Queue[T]) NextExpiry() (time.Time, bool) {
+	if it := q.expiry.first(); it != nil {
+		return it.Expires, true
+	}
+	return time.Time{}, false
+}
+
+// Offer walks the items in fair order and offers each to take until one is
+// taken; that one is removed and charged. It visits at most perOrganisation
+// items of each organisation and returns nil when none was taken.
+func (q *Queue[T]) Offer(perOrganisation int, take func(*Item[T]) bool) *Item[T] {
+	sortFlows(q.partners.flows, func(p *partner[T]) float64 { return p.finish })
+	for _, p := range q.partners.flows {
+		if p.count == 0 {
+			continue
+		}
+		sortFlows(p.orgs.flows, func(o *organisation[T]) float64 { return o.finish })
+		for _, o := range p.orgs.flows {
+			for _, it := range o.items[:min(perOrganisation, len(o.items))] {
+				if !take(it) {
+					continue
+				}
+				q.charge(p, o, it.Cost)
+				q.Remove(it)
+				return it
+			}
+		}
+	}
+	return nil
+}
+
+// Charge accounts work that ran without passing through the queue.
+func (q *Queue[T]) Charge(partnerName, organisationName string, tokens float64) {
+	p := q.partner(partnerName)
+	o := q.organisation(p, organisationName)
+	if p.count == 0 {
+		p.finish = max(p.finish, q.partners.virtual)
+	}
+	if len(o.items) == 0 {
+		o.finish = max(o.finish, p.orgs.virtual)
+	}
+	q.charge(p, o, max(tokens, 1))
+}
+
+// charge moves the flows' finish times on. The virtual time of a level is the
+// start time of the item in service and never moves back.
+func (q *Queue[T]) charge(p *partner[T], o *organisation[T], tokens float64) {
+	q.partners.virtual = max(q.partners.virtual, p.finish)
+	p.finish += tokens / p.weight
+	p.orgs.virtual = max(p.orgs.virtual, o.finish)
+	o.finish += tokens / o.weight
+}
+
+// Backlog is what is queued ahead of a new item of an organisation.
+type Backlog struct {
+	Total        float64 // tokens of all partners
+	Partner      float64 // tokens of the partner
+	Organisation float64 // tokens of the organisation
+	Share        float64 // the organisation's fair share among those with demand, 0 to 1
+}
+
+// Backlog returns what is queued ahead of a new item of the organisation.
+func (q *Queue[T]) Backlog(partnerName, organisationName string) Backlog {
+	p := q.partner(partnerName)
+	o := q.organisation(p, organisationName)
+	partners := 0.
+	for _, other := range q.partners.flows {
+		if other == p || other.count > 0 {
+			partners += other.weight
+		}
+	}
+	organisations := 0.
+	for _, other := range p.orgs.flows {
+		if other == o || len(other.items) > 0 {
+			organisations += other.weight
+		}
+	}
+	share := p.weight / partners * o.weight / organisations
+	return Backlog{Total: q.cost, Partner: p.cost, Organisation: o.cost, Share: share}
+}
+
+// Depth is the number of items queued for one organisation.
+type Depth struct {
+	Partner      string  `json:"partner"`
+	Organisation string  `json:"organisation"`
+	Items        int     `json:"items"`
+	Tokens       float64 `json:"tokens"`
+}
+
+// Depths lists the organisations that have queued items, by name.
+func (q *Queue[T]) Depths() []Depth {
+	var ds []Depth
+	for _, p := range q.partners.flows {
+		for _, o := range p.orgs.flows {
+			if len(o.items) > 0 {
+				ds = append(ds, Depth{Partner: p.name, Organisation: o.name, Items: len(o.items), Tokens: o.cost})
+			}
+		}
+	}
+	sort.Slice(ds, func(i, j int) bool {
+		if ds[i].Partner != ds[j].Partner {
+			return ds[i].Partner < ds[j].Partner
+		}
+		return ds[i].Organisation < ds[j].Organisation
+	})
+	return ds
+}
+
+func (q *Queue[T]) account(p *partner[T], o *organisation[T], it *Item[T], sign int) {
+	q.count += sign
+	p.count += sign
+	tokens := float64(sign) * it.Cost
+	q.cost += tokens
+	p.cost += tokens
+	o.cost += tokens
+}
+
+func (q *Queue[T]) partner(name string) *partner[T] {
+	p, ok := q.byName[name]
+	if !ok {
+		p = &partner[T]{flow: flow{weight: 1, finish: q.partners.virtual}, name: name, byName: map[string]*organisation[T]{}}
+		q.byName[name] = p
+		q.partners.flows = append(q.partners.flows, p)
+	}
+	return p
+}
+
+func (q *Queue[T]) organisation(p *partner[T], name string) *organisation[T] {
+	o, ok := p.byName[name]
+	if !ok {
+		o = &organisation[T]{flow: flow{weight: 1, finish: p.orgs.virtual}, name: name}
+		p.byName[name] = o
+		p.orgs.flows = append(p.orgs.flows, o)
+	}
+	return o
+}
+
+func before[T any](a, b *Item[T]) bool {
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	return a.seq < b.seq
+}
+
+func positive(weight float64) float64 {
+	if weight > 0 {
+		return weight
+	}
+	return 1
+}
+
+// sortFlows is an insertion sort: the order changes little between calls.
+func sortFlows[F any](flows []F, key func(F) float64) {
+	for i := 1; i < len(flows); i++ {
+		for j := i; j > 0 && key(flows[j]) < key(flows[j-1]); j-- {
+			flows[j], flows[j-1] = flows[j-1], flows[j]
+		}
+	}
+}
--- /dev/null
+++ b/internal/memory/loan.go
@@ -0,0 +1,90 @@
+package memory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/share"
+)
+
+// Ask returns a message that asks a peer to lend tokens of an engine's memory
+// for the term. It reports false for an unknown engine.
+func (l *Ledger) Ask(now time.Time, target string, tokens int, term time.Duration) (share.Ask, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.accounts[target]
+	if !ok {
+		return share.Ask{}, false
+	}
+	a.split.Advance(now)
+	return a.split.Ask(now, float64(tokens), term), true
+}
+
+// Lend answers a peer's Ask out of the part that no reservation uses.
+func (l *Ledger) Lend(now time.Time, ask share.Ask) (share.Loan, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.accounts[ask.Key]
+	if !ok {
+		return share.Loan{}, false
+	}
+	a.split.Advance(now)
+	spare := a.headroom(now.Add(2 * ask.Term))
+	return a.split.Lend(now, ask, float64(int(spare)))
+}
+
+// Accept takes a loan that a peer sent.
+func (l *Ledger) Accept(now time.Time, loan share.Loan) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.accounts[loan.Key]
+	return ok && a.split.Accept(now, loan)
+}
+
+// Returned takes back a loan that its borrower gave up.
+func (l *Ledger) Returned(now time.Time, target string, id share.LoanID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a, ok := l.accounts[target]; ok {
+		a.split.Returned(now, id)
+	}
+}
+
+// GiveBack gives up every loan on the target that no reservation needs and
+// returns their ids; the caller tells the lenders.
+func (l *Ledger) GiveBack(now time.Time, target string) []share.LoanID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.accounts[target]
+	if !ok {
+		return nil
+	}
+	a.split.Advance(now)
+	left := a.split.Available() - float64(a.used)
+	var idle []share.LoanID
+	for _, loan := range a.borrowed() {
+		if loan.amount > left {
+			continue
+		}
+		left -= loan.amount
+		idle = append(idle, loan.id)
+		a.split.Return(now, loan.id)
+	}
+	return idle
+}
+
+type borrowedLoan struct {
+	id     share.LoanID
+	amount float64
+}
+
+// borrowed lists the loans in the order in which they were asked for.
+func (a *account) borrowed() []borrowedLoan {
+	var loans []borrowedLoan
+	a.split.EachBorrowed(func(id share.LoanID, amount float64, _ time.Time) {
+		loans = append(loans, borrowedLoan{id: id, amount: amount})
+	})
+	slices.SortFunc(loans, func(x, y borrowedLoan) int { return cmp.Compare(x.id.Seq, y.id.Seq) })
+	return loans
+}
--- /dev/null
+++ b/internal/schedule/backlog.go
@@ -0,0 +1,145 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/rules"
+)
+
+// work is the prefill of one dispatched request at one target.
+type work struct {
+	id       string
+	priority int64
+	at       time.Time // of the dispatch
+	tokens   float64   // all of the prefill
+	left     float64   // what is predicted to be left of it
+	due      time.Time // predicted first token; zero for a peer's request
+	class    rules.Class
+	own      bool
+}
+
+// backlog predicts the prefill work that waits at one target. Its basis is the
+// dispatches of this host and its peers, drained at the engine's rate in order of
+// priority and corrected by each report.
+type backlog struct {
+	rate    float64 // tokens per second
+	at      time.Time
+	works   []work  // ascending by priority
+	unknown float64 // tokens that a report showed and no known dispatch explains
+}
+
+// advance drains the backlog up to now.
+func (b *backlog) advance(now time.Time) {
+	elapsed := now.Sub(b.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	b.at = now
+	b.drain(elapsed * b.rate)
+}
+
+// drain takes tokens off in order of priority. A peer's finished work is
+// forgotten; this host's own stays until its first token comes.
+func (b *backlog) drain(tokens float64) {
+	kept := b.works[:0]
+	for _, w := range b.works {
+		done := min(w.left, tokens)
+		w.left -= done
+		tokens -= done
+		if w.own || w.left > 0 {
+			kept = append(kept, w)
+		}
+	}
+	clear(b.works[len(kept):])
+	b.works = kept
+	b.unknown = max(0, b.unknown-tokens)
+}
+
+func (b *backlog) add(now time.Time, w work) {
+	b.advance(now)
+	at, _ := slices.BinarySearchFunc(b.works, w.priority, func(other work, priority int64) int {
+		if other.priority <= priority {
+			return -1
+		}
+		return 1
+	})
+	b.works = slices.Insert(b.works, at, w)
+}
+
+// remove forgets a request whose first token came or which ended.
+func (b *backlog) remove(now time.Time, id string) {
+	b.advance(now)
+	b.works = slices.DeleteFunc(b.works, func(w work) bool { return w.id == id })
+}
+
+// correct takes in a report that the engine observed some time ago: what was
+// dispatched since is added to it and what was computed since taken off.
+func (b *backlog) correct(now, observed time.Time, reported float64) {
+	b.advance(now)
+	total, known := reported-b.rate*now.Sub(observed).Seconds(), 0.
+	for i := range b.works {
+		w := &b.works[i]
+		known += w.left
+		if w.at.After(observed) {
+			total += w.tokens
+		}
+	}
+	total = max(total, 0)
+	b.unknown = max(0, total-known)
+	if known > total {
+		b.drain(known - total)
+	}
+}
+
+// clear forgets everything; the engine started anew.
+func (b *backlog) clear() {
+	b.works = b.works[:0]
+	b.unknown = 0
+}
+
+// load is a summary of a backlog for one priority.
+type load struct {
+	ahead float64 // tokens of the same or a higher priority
+	total float64 // tokens
+	long  int     // long prompts in prefill
+	stall time.Duration
+}
+
+// unknownAhead bounds how much unexplained work counts as ahead of a short
+// prompt, in tokens: the larger part of it is long prompts, which yield.
+const unknownAhead = 2 * rules.ShortMaxTokens
+
+// Overdue first tokens count as a stall beyond this tolerance.
+const (
+	stallFactor = 1.5
+	stallSlack  = 250 * time.Millisecond
+)
+
+func (b *backlog) load(now time.Time, priority int64, class rules.Class) load {
+	b.advance(now)
+	l := load{ahead: b.unknown, total: b.unknown}
+	if class == rules.ClassShort {
+		l.ahead = min(l.ahead, unknownAhead)
+	}
+	for i := range b.works {
+		w := &b.works[i]
+		l.total += w.left
+		if w.priority <= priority {
+			l.ahead += w.left
+		}
+		if w.class == rules.ClassLong && w.left > 0 {
+			l.long++
+		}
+		if w.own && w.left <= 0 {
+			l.stall = max(l.stall, w.overdue(now))
+		}
+	}
+	return l
+}
+
+// overdue is how long the first token is late beyond the tolerance.
+func (w *work) overdue(now time.Time) time.Duration {
+	tolerated := time.Duration(float64(w.due.Sub(w.at))*stallFactor) + stallSlack
+	return now.Sub(w.at) - tolerated
+}
--- /dev/null
+++ b/internal/schedule/inputs.go
@@ -0,0 +1,150 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/cost"
+	"github.com/plantainrun/plantainrun/internal/engineapi"
+	"github.com/plantainrun/plantainrun/internal/rules"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+// setTargets brings the pool's targets in line with the list and the hosts.
+func (p *pool) setTargets(now time.Time, listed []topology.Target, hosts []string) {
+	p.mu.Lock()
+	defer p.unlock()
+	present := map[string]bool{}
+	for _, info := range listed {
+		present[info.ID] = true
+		t := p.target(now, info)
+		t.info = info
+		sharers := sharersOf(info, hosts, len(listed), p.cfg.SubsetSize)
+		t.setSharers(sharers, p.cfg.Self)
+		p.ledger.SetTarget(now, info.ID, t.memory, t.sharers)
+	}
+	for id, t := range p.targets {
+		if !present[id] {
+			p.retire(now, id, t)
+		}
+	}
+	p.dispatch(now)
+}
+
+func (p *pool) target(now time.Time, info topology.Target) *targetState {
+	t, ok := p.targets[info.ID]
+	if !ok {
+		t = &targetState{memory: assumedMemory}
+		t.rates = p.cfg.Estimator.Rates(info.Model)
+		t.backlog = backlog{rate: t.rates.Prefill, at: now}
+		p.targets[info.ID] = t
+	}
+	if info.MemoryTokens > 0 {
+		t.memory = info.MemoryTokens
+	}
+	return t
+}
+
+// retire keeps a target that is no longer listed until its requests have ended.
+func (p *pool) retire(now time.Time, id string, t *targetState) {
+	t.info.State = topology.StateLeaving
+	p.ledger.SetTarget(now, id, t.memory, 0)
+	if t.running > 0 || !p.ledger.Forget(id) {
+		return
+	}
+	delete(p.targets, id)
+	p.cfg.Estimator.Forget(id)
+}
+
+// setSharers records which hosts share the target's memory.
+func (t *targetState) setSharers(hosts []string, self string) {
+	t.sharers = 0
+	t.peersOf = t.peersOf[:0]
+	if !slices.Contains(hosts, self) {
+		return
+	}
+	t.sharers = len(hosts)
+	for _, h := range hosts {
+		if h != self {
+			t.peersOf = append(t.peersOf, h)
+		}
+	}
+}
+
+func (p *pool) report(now time.Time, target string, r engineapi.LoadReport, rates cost.Rates) {
+	p.mu.Lock()
+	defer p.unlock()
+	t, ok := p.targets[target]
+	if !ok {
+		return
+	}
+	memory := t.memory
+	if !t.report(now, r, rates) {
+		return
+	}
+	p.newest = now
+	if t.memory != memory {
+		p.ledger.SetTarget(now, target, t.memory, t.sharers)
+	}
+	p.dispatch(now)
+}
+
+func (p *pool) cacheEvents(target string, events engineapi.CacheEvents) {
+	p.mu.Lock()
+	defer p.unlock()
+	if t, ok := p.targets[target]; ok {
+		t.prefixes.learn(events)
+	}
+}
+
+func (p *pool) targetDown(now time.Time, target, incarnation string) {
+	p.mu.Lock()
+	defer p.unlock()
+	t, ok := p.targets[target]
+	if !ok || (incarnation != "" && t.incarnation != "" && incarnation != t.incarnation) {
+		return
+	}
+	t.down, t.downAt = true, now
+	t.backlog.clear()
+	t.prefixes.clear()
+}
+
+func (p *pool) targetLeaving(target, incarnation string) {
+	p.mu.Lock()
+	defer p.unlock()
+	t, ok := p.targets[target]
+	if !ok {
+		return
+	}
+	if incarnation == "" {
+		incarnation = t.incarnation
+	}
+	if t.incarnation == "" || incarnation == t.incarnation {
+		t.leaving, t.leavingOf = true, incarnation
+	}
+}
+
+func (p *pool) learnPeerDispatch(now time.Time, hint PeerDispatch) {
+	p.mu.Lock()
+	defer p.unlock()
+	t, ok := p.targets[hint.Target]
+	if !ok || hint.Prompt <= 0 || !hint.At.After(t.reported) {
+		return
+	}
+	at := hint.At
+	if at.After(now) {
+		at = now
+	}
+	tokens := float64(hint.Prompt)
+	t.backlog.add(now, work{
+		id: hint.ID, priority: hint.Priority, at: at, tokens: tokens, left: tokens,
+		class: rules.ClassOf(hint.Prompt),
+	})
+}
+
+// shape works out a request's shape under the lock.
+func (p *pool) shape(req *Request, objective rules.Objective, rates cost.Rates) Shape {
+	p.mu.Lock()
+	defer p.unlock()
+	return p.shapeOf(req, objective, rates)
+}
--- /dev/null
+++ b/internal/schedule/policy.go
@@ -0,0 +1,144 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/rules"
+)
+
+// Shape is what the scheduler worked out about a request.
+type Shape struct {
+	Class     rules.Class
+	Objective rules.Objective
+	// Prefill is how long the prompt takes on an idle engine, Decode how long the answer
+	// is expected to take.
+	Prefill time.Duration
+	Decode  time.Duration
+}
+
+// Candidate is one target, or one group of targets, that could take a request now.
+type Candidate struct {
+	// Target is the target's id; of a group, its first member's.
+	Target string
+	// FirstToken is the predicted time until the first token, Ahead the part of
+	// it that is work of the same or a higher priority, Backlog all work that is queued there.
+	FirstToken time.Duration
+	Ahead      time.Duration
+	Backlog    time.Duration
+	// Running counts requests that run or wait at the target, LongPrefills the long prompts
+	// among them without a first token.
+	Running      int
+	LongPrefills int
+	// Free is the memory that this host may promise, in tokens.
+	Free int
+	// Position is the target's place among the Count targets of the request's
+	// route. All hosts see the same order.
+	Position int
+	Count    int
+	// Grouped tells that the prompt would be held in parts.
+	Grouped bool
+}
+
+// Policy decides the order of requests at engines and picks targets. Methods
+// are called under the lock of one model and must not block.
+type Policy interface {
+	// Priority is the request's priority at the engine; lower runs first. Values of all
+	// hosts must be comparable.
+	Priority(req *Request, shape Shape) int64
+	// Choose returns the index of the candidate on which the request should start
+	// now, or -1 to keep it queued. All candidates have the memory.
+	Choose(now time.Time, req *Request, shape Shape, candidates []Candidate) int
+}
+
+// Parameters of SlackPolicy.
+const (
+	shortWindow     = 250 * time.Millisecond // work ahead at a target before requests wait at the host
+	otherWindow     = 500 * time.Millisecond
+	leastWait       = 150 * time.Millisecond
+	firstTokenGoal  = 420 * time.Millisecond
+	longPerTarget   = 1
+	closedToLong    = 0.15 // part of the targets that long prompts do not enter
+	slowdownStretch = 4.
+	urgentStretch   = 2.
+)
+
+// SlackPolicy gives each request a due time for its first token, from its size
+// and its partner's objective, and lets the earliest due run first. A request
+// ages by itself, since later requests have later due times.
+type SlackPolicy struct {
+	// ClosedToLong is the part of the targets that long prompts do not enter, 0 to 1.
+	ClosedToLong float64
+	// LongPerTarget bounds long prompts in prefill at one target.
+	LongPerTarget int
+}
+
+// NewSlackPolicy returns the default policy.
+func NewSlackPolicy() *SlackPolicy {
+	return &SlackPolicy{ClosedToLong: closedToLong, LongPerTarget: longPerTarget}
+}
+
+// Priority is the Unix time in milliseconds at which the first token is due.
+func (p *SlackPolicy) Priority(req *Request, shape Shape) int64 {
+	due := req.Arrival.Add(dueAfter(shape))
+	latest := req.Deadline.Add(-shape.Decode)
+	if latest.Before(due) {
+		due = latest
+	}
+	return due.UnixMilli()
+}
+
+func dueAfter(shape Shape) time.Duration {
+	stretch := slowdownStretch
+	if shape.Objective == rules.ObjectiveFirstToken {
+		stretch = urgentStretch
+	}
+	if shape.Class == rules.ClassShort {
+		return min(firstTokenGoal, max(leastWait, stretched(shape.Prefill, stretch)))
+	}
+	return max(leastWait, stretched(shape.Prefill, 1+stretch))
+}
+
+func stretched(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
+// Choose picks the earliest predicted first token among the targets with little
+// work ahead.
+func (p *SlackPolicy) Choose(_ time.Time, _ *Request, shape Shape, candidates []Candidate) int {
+	window := otherWindow
+	if shape.Class == rules.ClassShort {
+		window = shortWindow
+	}
+	best := -1
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Ahead > window || (shape.Class == rules.ClassLong && !p.openToLong(c)) {
+			continue
+		}
+		if best < 0 || sooner(c, &candidates[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (p *SlackPolicy) openToLong(c *Candidate) bool {
+	if c.LongPrefills >= p.LongPerTarget {
+		return false
+	}
+	closed := int(p.ClosedToLong*float64(c.Count) + 0.5)
+	return c.Grouped || c.Position >= min(closed, c.Count-1)
+}
+
+// sooner prefers the earlier first token, then the smaller backlog, then the
+// larger free memory.
+func sooner(a, b *Candidate) bool {
+	const same = 2 * time.Millisecond
+	if d := a.FirstToken - b.FirstToken; d < -same || d > same {
+		return d < 0
+	}
+	if d := a.Backlog - b.Backlog; d < -same || d > same {
+		return d < 0
+	}
+	return a.Free > b.Free
+}
