Add rules, platform client, its stand-in, and a first cut of what hosts know

- internal/platform: read and watch through httpc; calls counted, rate-limited, an older answer recognised.
What httpc's breaker refuses is not counted.
- internal/standin/platform: read-only service with faults and counters.

Weighed: one watch over all keys; ruled out, since a list that lags becomes visible below the watch's revision and would be missed.

Not yet: exchange with peers.

--- /dev/null
+++ b/internal/knowledge/knowledge_test.go
@@ -0,0 +1,68 @@
+package knowledge_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/plantainrun/plantainrun/internal/knowledge"
+	"github.com/plantainrun/plantainrun/internal/platform"
+	standin "github.com/plantainrun/plantainrun/internal/standin/platform"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// rulesFile returns a valid rules file whose content is told by its limit.
+func rulesFile(partner string, seconds int) []byte {
+	return fmt.Appendf(nil, "partner %s\ntime-limit short %ds # Ueda (admissions): test\nend 1\n", partner, seconds)
+}
+
+func marshal(v any) []byte {
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+var someTargets = marshal(topology.TargetList{Targets: []topology.Target{{
+	ID: "sapporo-engine-1", Kind: topology.KindEngine, Partner: "kushiro", Domain: "sapporo",
+	State: topology.StateLive, Addr: netip.MustParseAddrPort("192.0.2.1:80"), Model: "assistant",
+}}})
+
+func TestAHostReadsThePlatformAndFollowsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		service := standin.New()
+		publish := func(key string, body []byte) {
+			_, err := service.Publish(key, body)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		publish(platform.RulesKey("kushiro"), rulesFile("kushiro", 1))
+		publish(platform.KeyTargets, someTargets)
+		k, err := knowledge.New(knowledge.Config{
+			Host: "a", Domain: "sapporo", Partners: []string{"kushiro", "aarhus"}, Source: service,
+		})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- k.Run(ctx) }()
+		time.Sleep(time.Second)
+		g.Expect(k.Ready()).To(gomega.Equal(knowledge.Readiness{Ready: true}))
+		g.Expect(k.Snapshot().Targets.Targets).To(gomega.HaveLen(1))
+
+		publish(platform.RulesKey("kushiro"), rulesFile("kushiro", 2))
+		time.Sleep(time.Second)
+		g.Expect(k.Snapshot().Rules.LimitFor("kushiro", "short")).To(gomega.Equal(2 * time.Second))
+		cancel()
+		g.Expect(<-done).To(gomega.MatchError(context.Canceled))
+	})
+}
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,112 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"github.com/plantainrun/plantainrun/internal/platform"
+	standin "github.com/plantainrun/plantainrun/internal/standin/platform"
+)
+
+func TestMain(m *testing.M) {
+	logx.Disable()
+	m.Run()
+}
+
+func serve(t *testing.T, cfg platform.Config) (*standin.Service, *platform.Client) {
+	service := standin.New()
+	server := httptest.NewServer(service.Handler())
+	t.Cleanup(server.Close)
+	cfg.Address, cfg.Name = server.URL, t.Name()
+	return service, platform.NewClient(cfg)
+}
+
+func TestReadAndWatch(t *testing.T) {
+	g := gomega.NewWithT(t)
+	service, client := serve(t, platform.Config{})
+	ctx := t.Context()
+
+	_, err := client.Read(ctx, platform.KeyPlan)
+	var missing *platform.NotFoundError
+	g.Expect(errors.As(err, &missing)).To(gomega.BeTrue())
+
+	revision, err := service.Publish(platform.RulesKey("kushiro"), []byte("body"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	changes, err := client.Watch(ctx, platform.Question{Keys: []string{platform.KeyPlan, "rules/kushiro"}, Wait: time.Minute})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(changes).To(gomega.Equal([]platform.Change{{Key: "rules/kushiro", Revision: revision}}))
+	v, err := client.Read(ctx, "rules/kushiro")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(v).To(gomega.Equal(platform.Value{Key: "rules/kushiro", Revision: revision, Body: []byte("body")}))
+
+	changes, err = client.Watch(ctx, platform.Question{After: revision, Keys: []string{"rules/kushiro"}, Wait: time.Millisecond})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(changes).To(gomega.BeEmpty())
+	g.Expect(service.Stats().Calls()).To(gomega.Equal(uint64(4)))
+	stats := client.Stats()
+	g.Expect(stats.Reads + stats.Watches).To(gomega.Equal(uint64(4)))
+}
+
+func TestAnOlderAnswerIsRecognised(t *testing.T) {
+	g := gomega.NewWithT(t)
+	service, client := serve(t, platform.Config{})
+	first, _ := service.Publish(platform.KeyPlan, []byte("1"))
+	_, _ = service.Publish(platform.KeyPlan, []byte("2"))
+	_, err := client.Read(t.Context(), platform.KeyPlan)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	service.SetFaults(standin.Faults{StaleAt: first})
+	_, err = client.Read(t.Context(), platform.KeyPlan)
+	var older *platform.OlderError
+	g.Expect(errors.As(err, &older)).To(gomega.BeTrue())
+	g.Expect(client.Stats().Older).To(gomega.Equal(uint64(1)))
+}
+
+func TestADownServiceIsUnavailableAndComesBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	service, client := serve(t, platform.Config{ReadsPerSecond: 1000})
+	_, _ = service.Publish(platform.KeyPlan, []byte("1"))
+	service.SetFaults(standin.Faults{Down: true})
+	for range 50 {
+		_, err := client.Read(t.Context(), platform.KeyPlan)
+		var unavailable *platform.UnavailableError
+		g.Expect(errors.As(err, &unavailable)).To(gomega.BeTrue())
+	}
+	// What the breaker refuses is not sent and not counted as a read.
+	stats := client.Stats()
+	g.Expect(stats.Reads).To(gomega.Equal(service.Stats().Reads))
+	g.Expect(stats.Reads + stats.Broken).To(gomega.Equal(uint64(50)))
+
+	service.SetFaults(standin.Faults{})
+	g.Eventually(func() error {
+		_, err := client.Read(t.Context(), platform.KeyPlan)
+		return err
+	}, time.Minute, 50*time.Millisecond).Should(gomega.Succeed())
+}
+
+func TestTheRateIsLimited(t *testing.T) {
+	g := gomega.NewWithT(t)
+	service, client := serve(t, platform.Config{ReadsPerSecond: 0.001, ReadBurst: 3})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for range 6 {
+		_, _ = client.Read(ctx, platform.KeyPlan)
+	}
+	g.Expect(service.Stats().Reads).To(gomega.Equal(uint64(3)))
+}
+
+func TestBackoffGrowsToItsBound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := platform.Backoff{First: time.Second, Max: 10 * time.Second}
+	var last time.Duration
+	for i := range 100 {
+		last = b.Next()
+		ceiling := min(time.Second<<min(i, 4), 10*time.Second)
+		g.Expect(last).To(gomega.And(gomega.BeNumerically(">=", ceiling/2), gomega.BeNumerically("<", ceiling)))
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/http.go
@@ -0,0 +1,114 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/platform"
+)
+
+// maxWait bounds how long a watch may wait.
+const maxWait = time.Minute
+
+// Published is the answer to a publication through the control endpoint.
+type Published struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Handler serves hosts below /v1, read-only, and tests below /control.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/values/{key...}", s.serveRead)
+	mux.HandleFunc("GET /v1/watch", s.serveWatch)
+	mux.HandleFunc("PUT /control/values/{key...}", s.servePublish)
+	mux.HandleFunc("PUT /control/faults", s.serveFaults)
+	mux.HandleFunc("GET /control/stats", s.serveStats)
+	return mux
+}
+
+func (s *Service) serveRead(w http.ResponseWriter, r *http.Request) {
+	v, err := s.Read(r.Context(), r.PathValue("key"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, v)
+}
+
+func (s *Service) serveWatch(w http.ResponseWriter, r *http.Request) {
+	q, err := questionOf(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	changes, err := s.Watch(r.Context(), q)
+	switch {
+	case err != nil:
+		writeError(w, err)
+	case len(changes) == 0:
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		writeJSON(w, platform.Changes{Changes: changes})
+	}
+}
+
+func questionOf(r *http.Request) (platform.Question, error) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		return platform.Question{}, err
+	}
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil {
+		return platform.Question{}, err
+	}
+	keys := strings.Split(query.Get("keys"), ",")
+	return platform.Question{After: after, Keys: keys, Wait: min(wait, maxWait)}, nil
+}
+
+func (s *Service) servePublish(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	revision, err := s.Publish(r.PathValue("key"), body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	writeJSON(w, Published{Revision: revision})
+}
+
+func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Service) serveStats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Stats())
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	http.Error(w, err.Error(), http.StatusServiceUnavailable)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
