Run the whole path as separate processes

Cause: everything else is measured on this path. One binary now serves, runs stand-ins, shows a demonstration and speaks to operators. Ruled out: go-zero's own log line for each failed request (counters tell it) and its console writer, which replaced the routed one when the first server was made; the routing now sets go-zero's log up first.

--- a/cmd/plantainrun/main.go
+++ b/cmd/plantainrun/main.go
@@ -3,11 +3,11 @@
 package main
 
 import (
-	"fmt"
+	"os"
 
-	"github.com/plantainrun/plantainrun/internal/buildinfo"
+	"github.com/plantainrun/plantainrun/internal/cli"
 )
 
 func main() {
-	fmt.Println("plantainrun", buildinfo.Version)
+	os.Exit(cli.Run(os.Args[1:], cli.Streams{Out: os.Stdout, Err: os.Stderr}))
 }
--- /dev/null
+++ b/internal/audit/text.go
@@ -0,0 +1,34 @@
+package audit
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// String is the entry in one line for each change or reason.
+func (e Entry) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d %s %s %s", e.Sequence, e.Time.UTC().Format(time.RFC3339), e.Verdict, e.Subject)
+	if e.From != e.To {
+		fmt.Fprintf(&b, " revision %d to %d", e.From, e.To)
+	}
+	fmt.Fprintf(&b, " from %s: %s", e.Source, e.Summary)
+	if len(e.Who) > 0 {
+		fmt.Fprintf(&b, " (asked by %s)", strings.Join(e.Who, ", "))
+	}
+	for _, c := range e.Changes {
+		fmt.Fprintf(&b, "\n    %s line %d: %s (%s: %s)", changeSign(c), c.Line, c.Rule, c.Who, c.Why)
+	}
+	for _, r := range e.Reasons {
+		fmt.Fprintf(&b, "\n    line %d: %s; %s", r.Line, r.Message, r.Remedy)
+	}
+	return b.String()
+}
+
+func changeSign(c Change) string {
+	if c.Removed {
+		return "-"
+	}
+	return "+"
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -45,16 +45,17 @@
 
 // ServiceCall is one call of a plain service.
 type ServiceCall struct {
-	ID         string
-	Ticket     string
-	Partner    string
-	Service    string
-	Method     string
-	Path       string // with the query
-	Header     http.Header
-	Body       []byte
-	Deadline   time.Time
-	Repeatable bool
+	ID           string
+	Ticket       string
+	Organisation string
+	Partner      string
+	Service      string
+	Method       string
+	Path         string // with the query
+	Header       http.Header
+	Body         []byte
+	Deadline     time.Time
+	Repeatable   bool
 }
 
 // ServiceAnswer is a service's whole answer.
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -52,7 +52,7 @@
 		return ServiceCall{}, err
 	}
 	call := ServiceCall{
-		ID: who.id, Ticket: r.Header.Get(HeaderTicket), Partner: who.partner,
+		ID: who.id, Ticket: r.Header.Get(HeaderTicket), Partner: who.partner, Organisation: who.org.Name,
 		Service: name, Method: r.Method, Path: path, Header: endToEnd(r.Header), Body: body,
 		Deadline:   who.arrival.Add(h.limitFor(who, rules.ClassShort)),
 		Repeatable: h.Rules.Repeatable(who.partner, name, r.Method, path),
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -54,7 +54,7 @@
 
 func newParser(streams Streams) *flags.Parser {
 	parser := flags.NewNamedParser("plantainrun", flags.HelpFlag|flags.PassDoubleDash)
-	add := func(name, short string, cmd flags.Commander) *flags.Command {
+	add := func(name, short string, cmd any) *flags.Command {
 		c, err := parser.AddCommand(name, short, short, cmd)
 		if err != nil {
 			panic(err) // two commands of one name, or a malformed tag: a fault in this file
@@ -75,8 +75,6 @@
 	return parser
 }
 
-type rulesCommand struct{}
-
 type versionCommand struct{ streams Streams }
 
 // Execute prints the version.
--- /dev/null
+++ b/internal/cli/rules.go
@@ -0,0 +1,51 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/plantainrun/plantainrun/internal/rules"
+)
+
+type rulesCommand struct{}
+
+type rulesCheckCommand struct {
+	Partner string `long:"partner" description:"partner that the file belongs to; the one that its first line names if left out"`
+	Args    struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+	streams Streams
+}
+
+// Execute checks a file of rules and prints every fault.
+func (c *rulesCheckCommand) Execute([]string) error {
+	file, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return fmt.Errorf("the file cannot be read: %w", err)
+	}
+	partner := c.Partner
+	if partner == "" {
+		partner = partnerOf(string(file))
+	}
+	set, faults := rules.Parse(partner, file)
+	if len(faults) == 0 {
+		fmt.Fprintf(c.streams.Out, "%s: good, %d organisations of %s\n", c.Args.File, len(set.Organisations), set.Partner)
+		return nil
+	}
+	for _, f := range faults {
+		fmt.Fprintf(c.streams.Err, "%s:%d: %s; %s\n", c.Args.File, f.Line, f.Message, f.Remedy)
+	}
+	return fmt.Errorf("%s: %d faults, nothing would be taken", c.Args.File, len(faults))
+}
+
+// partnerOf returns the partner that the file names for itself.
+func partnerOf(file string) string {
+	for line := range strings.Lines(file) {
+		fields := strings.Fields(line)
+		if len(fields) >= 2 && fields[0] == "partner" {
+			return fields[1]
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,57 @@
+package cli
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/config"
+	"github.com/plantainrun/plantainrun/internal/logging"
+	"github.com/plantainrun/plantainrun/internal/server"
+)
+
+type serveCommand struct {
+	config.Settings
+	streams Streams
+}
+
+// Execute runs an entry host until it has drained.
+func (c *serveCommand) Execute([]string) error {
+	addrs, err := c.Check()
+	if err != nil {
+		return &usageError{err}
+	}
+	log, err := logging.New(c.Log.Level)
+	if err != nil {
+		return &usageError{err}
+	}
+	defer func() { _ = log.Sync() }()
+	logging.Route(log)
+	srv, err := server.New(c.Settings, addrs, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := srv.Start(); err != nil {
+		return err
+	}
+	drainOnSignal(srv, signals, log)
+	return nil
+}
+
+// drainOnSignal waits for the end of a drain. Further signals change nothing.
+func drainOnSignal(srv *server.Server, signals <-chan os.Signal, log *zap.Logger) {
+	for {
+		select {
+		case sig := <-signals:
+			if !srv.Drain("signal " + sig.String()) {
+				log.Info("already draining", zap.String("signal", sig.String()))
+			}
+		case <-srv.Done():
+			return
+		}
+	}
+}
--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -14,7 +14,6 @@
 	"github.com/plantainrun/plantainrun/internal/engineapi"
 	"github.com/plantainrun/plantainrun/internal/rules"
 	"github.com/plantainrun/plantainrun/internal/schedule"
-	"github.com/plantainrun/plantainrun/internal/topology"
 )
 
 // BlockBytes is the size of the prompt blocks whose hashes name a prefix.
@@ -30,17 +29,19 @@
 type Attempt struct {
 	Outcome outcome.Outcome
 	// Died is set when the engine's process ended during the attempt.
-	Died   bool
-	Tokens int // tokens that reached the sink
-	Reason string
-	Usage  engineapi.Usage
+	Died bool
+	// Leaving is set when the engine said that it is leaving.
+	Leaving bool
+	Tokens  int // tokens that reached the sink
+	Reason  string
+	Usage   engineapi.Usage
 }
 
 // Call is one prompt prepared for any number of attempts.
 type Call interface {
-	// Attempt runs the prompt once on target and passes each token once, in
+	// Attempt runs the prompt once under grant and passes each token once, in
 	// order. A nil error comes only with a whole answer.
-	Attempt(ctx context.Context, target topology.Target, priority int, token func(text string) error) (Attempt, error)
+	Attempt(ctx context.Context, grant schedule.Grant, token func(text string) error) (Attempt, error)
 }
 
 // Engines prepares prompts for attempts.
@@ -189,7 +190,7 @@
 	target := grant.Target()
 	r.Suspects.Started(r.fingerprint, target.ID)
 	seen := false
-	attempt, err := r.call.Attempt(ctx, target, grant.Priority(), func(text string) error {
+	attempt, err := r.call.Attempt(ctx, grant, func(text string) error {
 		if !seen {
 			seen = true
 			grant.FirstToken(r.Clock.Now())
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/jessevdk/go-flags"
@@ -34,8 +35,7 @@
 	_, err := parse(t, "--host-id=Sapporo 1", "--partner=nobody", "--platform-addr=localhost:1",
 		"--max-body-bytes=-1", "--log-level=loud", "--max-time-limit=1s").Check()
 	var problems config.Problems
-	g.Expect(err).To(gomega.BeAssignableToTypeOf(problems))
-	problems = err.(config.Problems)
+	g.Expect(errors.As(err, &problems)).To(gomega.BeTrue())
 	var named []string
 	for _, p := range problems {
 		named = append(named, p.Setting)
--- /dev/null
+++ b/internal/e2e/process_test.go
@@ -0,0 +1,227 @@
+package e2e_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+// Waits are generous: the verdict must not hang on the machine's speed.
+const (
+	startWait = 30 * time.Second
+	stateWait = 40 * time.Second
+)
+
+const operatorKey = "0123456789abcdef-e2e"
+
+var binary string
+
+func TestMain(m *testing.M) {
+	path, err := gexec.Build("github.com/plantainrun/plantainrun/cmd/plantainrun")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = path
+	code := m.Run()
+	gexec.Kill()
+	gexec.CleanupBuildArtifacts()
+	os.Exit(code)
+}
+
+// process is one process that a test started.
+type process struct {
+	*gexec.Session
+	addr netip.AddrPort
+}
+
+var listening = regexp.MustCompile(`listening on (\S+)`)
+
+func startProcess(t *testing.T, args ...string) *gexec.Session {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	out := io.Discard
+	if testing.Verbose() {
+		out = os.Stderr
+	}
+	cmd := exec.Command(binary, args...)
+	cmd.Env = append(os.Environ(), "PLANTAINRUN_OPERATOR_KEY="+operatorKey)
+	session, err := gexec.Start(cmd, nil, out)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() {
+		session.Signal(syscall.SIGCONT)
+		<-session.Kill().Exited
+	})
+	return session
+}
+
+func startStandin(t *testing.T, kind string, args ...string) process {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	session := startProcess(t, append([]string{"standin", kind}, args...)...)
+	g.Eventually(session.Out, startWait).Should(gbytes.Say("listening on"))
+	found := listening.FindSubmatch(session.Out.Contents())
+	return process{Session: session, addr: netip.MustParseAddrPort(string(found[1]))}
+}
+
+// host is one entry host in a process of its own.
+type host struct {
+	*gexec.Session
+	id, domain, partner       string
+	callers, peers, operators netip.AddrPort
+	platform                  netip.AddrPort
+}
+
+func (h *host) url(path string) string { return "http://" + h.callers.String() + path }
+
+// start runs the host, again with the same addresses when it ran before.
+func (h *host) start(t *testing.T, extra ...string) {
+	t.Helper()
+	args := append([]string{
+		"serve", "--host-id=" + h.id, "--partner=" + h.partner, "--failure-domain=" + h.domain,
+		"--callers-addr=" + h.callers.String(), "--peers-addr=" + h.peers.String(), "--operators-addr=" + h.operators.String(),
+		"--platform-addr=" + h.platform.String(), "--balancer-wait=200ms", "--first-wait=3s", "--peer-plain",
+	}, extra...)
+	h.Session = startProcess(t, args...)
+}
+
+func (h *host) waitReady(t *testing.T) {
+	t.Helper()
+	gomega.NewWithT(t).Eventually(h.readiness, stateWait, 50*time.Millisecond).Should(gomega.Equal("ready"), "host %s", h.id)
+}
+
+// readiness is "ready" or why the host is not.
+func (h *host) readiness() string {
+	resp, err := http.Get("http://" + h.operators.String() + "/readyz")
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(string(body))
+}
+
+// run runs a client command against the host and returns its output.
+func (h *host) run(t *testing.T, args ...string) string {
+	t.Helper()
+	args = append(args, "--operators-addr="+h.operators.String())
+	session := startProcess(t, args...)
+	gomega.NewWithT(t).Eventually(session, startWait).Should(gexec.Exit(0), string(session.Err.Contents()))
+	return string(session.Out.Contents())
+}
+
+// cluster is a whole system of separate processes.
+type cluster struct {
+	platform process
+	engines  []process
+	services []process
+	hosts    []*host
+
+	targets []topology.Target
+}
+
+const (
+	partner     = "kushiro"
+	callerKey   = "kushiro.e2e-key"
+	modelName   = "assistant"
+	serviceName = "enrolment"
+)
+
+// newCluster starts a platform, engines and services in domain "sapporo", and
+// the given number of hosts there.
+func newCluster(t *testing.T, hosts, engines int, engineArgs ...string) *cluster {
+	t.Helper()
+	c := &cluster{platform: startStandin(t, "platform")}
+	for i := range engines {
+		id := fmt.Sprintf("sapporo-engine-%d", i+1)
+		e := startStandin(t, "engine", append([]string{"--id=" + id, "--model=" + modelName}, engineArgs...)...)
+		c.engines = append(c.engines, e)
+		c.targets = append(c.targets, topology.Target{
+			ID: id, Kind: topology.KindEngine, Partner: partner, Domain: "sapporo", State: topology.StateLive,
+			Addr: e.addr, Model: modelName, MemoryTokens: 400_000,
+		})
+	}
+	s := startStandin(t, "service")
+	c.services = append(c.services, s)
+	c.targets = append(c.targets, topology.Target{
+		ID: "sapporo-records-1", Kind: topology.KindService, Partner: partner, Domain: "sapporo",
+		State: topology.StateLive, Addr: s.addr, Model: serviceName,
+	})
+	for i := range hosts {
+		h := &host{id: fmt.Sprintf("sapporo-%d", i+1), domain: "sapporo", partner: partner, platform: c.platform.addr}
+		h.callers, h.peers, h.operators = freeAddr(t), freeAddr(t), freeAddr(t)
+		c.hosts = append(c.hosts, h)
+	}
+	c.publishAll(t)
+	for _, h := range c.hosts {
+		h.start(t)
+	}
+	for _, h := range c.hosts {
+		h.waitReady(t)
+	}
+	return c
+}
+
+func (c *cluster) publishAll(t *testing.T) {
+	t.Helper()
+	var list topology.HostList
+	for _, h := range c.hosts {
+		list.Hosts = append(list.Hosts, topology.Host{ID: h.id, Partner: h.partner, Domain: h.domain, State: topology.StateLive, PeerAddr: h.peers})
+	}
+	c.publish(t, "hosts", marshal(t, list))
+	c.publish(t, "targets", marshal(t, topology.TargetList{Targets: c.targets}))
+	c.publish(t, "plan", marshal(t, topology.Plan{}))
+	c.publish(t, "rules/kushiro", goodRules("30s"))
+	c.publish(t, "rules/aarhus", "partner aarhus\nobjective slowdown # e2e: empty\nend 1\n")
+}
+
+// goodRules is a file of rules with the given time limit for short prompts.
+func goodRules(short string) string {
+	return strings.Join([]string{
+		"partner kushiro",
+		"time-limit short " + short + " # e2e: tests",
+		"organisation kushiro/school key=sha256:" + keyHash(callerKey) + " # e2e: tests",
+		"model assistant targets=sapporo-engine-* # e2e: tests",
+		"service enrolment POST /reservations once # e2e: tests",
+		"end 4", "",
+	}, "\n")
+}
+
+func (c *cluster) publish(t *testing.T, key, body string) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	req, err := http.NewRequest(http.MethodPut, "http://"+c.platform.addr.String()+"/control/values/"+key, strings.NewReader(body))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp.Body.Close()
+	g.Expect(resp.StatusCode).To(gomega.BeNumerically("<", 300))
+}
+
+func marshal(t *testing.T, v any) string {
+	t.Helper()
+	body, err := json.Marshal(v)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return string(body)
+}
+
+func examples(name string) string { return filepath.Join("..", "..", "examples", "rules", name) }
--- /dev/null
+++ b/internal/server/calls.go
@@ -0,0 +1,43 @@
+package server
+
+import (
+	"context"
+
+	"github.com/plantainrun/plantainrun/internal/caller"
+	"github.com/plantainrun/plantainrun/internal/idempotent"
+	"github.com/plantainrun/plantainrun/internal/once"
+)
+
+// callRules tells how a service call may be repeated.
+type callRules interface {
+	Dedupes(partner, service, method, path string) bool
+}
+
+// serviceCalls runs service calls: those that may be repeated here, the others
+// at the owner of their ticket. It implements caller.Services.
+type serviceCalls struct {
+	router *once.Router
+	repeat *idempotent.Executor
+	rules  callRules
+}
+
+// Call runs one call. The error is an *apierror.Error.
+func (c *serviceCalls) Call(ctx context.Context, call caller.ServiceCall) (caller.ServiceAnswer, error) {
+	answer, err := c.execute(ctx, call)
+	if err != nil {
+		return caller.ServiceAnswer{}, err
+	}
+	return caller.ServiceAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}, nil
+}
+
+func (c *serviceCalls) execute(ctx context.Context, call caller.ServiceCall) (once.Answer, error) {
+	run := once.Call{
+		ID: call.ID, Ticket: call.Ticket, Organisation: call.Organisation, Service: call.Service,
+		Method: call.Method, Path: call.Path, Header: call.Header, Body: call.Body, Deadline: call.Deadline,
+	}
+	if call.Repeatable {
+		return c.repeat.Execute(ctx, run)
+	}
+	run.Dedupes = c.rules.Dedupes(call.Partner, call.Service, call.Method, call.Path)
+	return c.router.Execute(ctx, run)
+}
--- /dev/null
+++ b/internal/server/engines.go
@@ -0,0 +1,79 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/completion"
+	"github.com/plantainrun/plantainrun/internal/cost"
+	"github.com/plantainrun/plantainrun/internal/engine"
+	"github.com/plantainrun/plantainrun/internal/engineapi"
+	"github.com/plantainrun/plantainrun/internal/schedule"
+)
+
+const engineRetryPause = time.Second
+
+// estimate adapts the estimator of token counts.
+type estimate struct{ *cost.Estimator }
+
+// PromptTokens estimates the tokens of a prompt of so many bytes.
+func (e estimate) PromptTokens(model string, bytes int) int { return e.Tokens(model, bytes) }
+
+// engines adapts the engines' client to completion.Engines.
+type engines struct {
+	client *engine.Client
+	self   identity.Incarnation
+}
+
+// Prepare makes the request that all attempts share.
+func (e *engines) Prepare(req completion.Request) (completion.Call, error) {
+	return &engineCall{client: e.client, req: engineapi.GenerateRequest{
+		ID: req.ID, Owner: e.self.String(), DeadlineMS: req.Deadline.UnixMilli(), Model: req.Model, Adapter: req.Adapter,
+		Prompt: req.Prompt, MaxTokens: req.MaxTokens, Stop: req.Stop,
+	}}, nil
+}
+
+type engineCall struct {
+	client *engine.Client
+	req    engineapi.GenerateRequest
+}
+
+// Attempt runs the prompt once under grant.
+func (c *engineCall) Attempt(ctx context.Context, grant schedule.Grant, token func(string) error) (completion.Attempt, error) {
+	target := grant.Target()
+	req := c.req
+	req.Priority = grant.Priority()
+	req.Model = target.Model
+	if parted, ok := grant.(schedule.PartedGrant); ok {
+		req.Parts = parted.Parts()
+	}
+	result, err := c.client.Generate(ctx, target, req, func(chunk engineapi.Chunk) error { return token(chunk.Token) })
+	attempt := completion.Attempt{
+		Outcome: result.Outcome, Tokens: result.Tokens, Reason: result.Reason, Usage: result.Usage, Leaving: result.Leaving,
+	}
+	if err == nil {
+		return attempt, nil
+	}
+	attempt.Died = errors.Is(err, &engine.Error{Kind: engine.KindLost})
+	return attempt, engineError(err, result.Outcome)
+}
+
+// engineError is what a caller is told of a failed attempt that is not repeated.
+func engineError(err error, result outcome.Outcome) error {
+	var e *engine.Error
+	if !errors.As(err, &e) {
+		return apierror.New(apierror.KindInternal, result, "report this to the maintainers", "%s", err)
+	}
+	kind := apierror.KindTargetFailed
+	switch e.Kind {
+	case engine.KindDeadline, engine.KindCancelled:
+		kind = apierror.KindDeadline
+	case engine.KindIncomplete, engine.KindLost, engine.KindDropped:
+		kind = apierror.KindIncomplete
+	}
+	return apierror.New(kind, result, "ask again", "%s", e).After(engineRetryPause)
+}
--- /dev/null
+++ b/internal/server/limits.go
@@ -0,0 +1,69 @@
+package server
+
+import (
+	"sync"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/coord/share"
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/rules"
+)
+
+const limitRetry = 2 * time.Second
+
+// limits holds this host's share of the organisations' token limits. It is
+// safe for concurrent use and implements completion.Limiter.
+type limits struct {
+	self identity.Incarnation
+	clk  clock.Clock
+
+	mu       sync.RWMutex
+	limiters map[string]*share.Limiter // by organisation
+}
+
+func newLimits(self identity.Incarnation, clk clock.Clock) *limits {
+	return &limits{self: self, clk: clk, limiters: make(map[string]*share.Limiter)}
+}
+
+// set takes the rules in force and the hosts that share the limits.
+func (l *limits) set(book *rules.Book, hosts []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clk.Now()
+	known := l.limiters
+	l.limiters = make(map[string]*share.Limiter)
+	for _, set := range ruleSets(book) {
+		for _, org := range set.Organisations {
+			if org.TokensPerSecond == 0 {
+				continue
+			}
+			limiter := known[org.Name]
+			if limiter == nil {
+				limiter = share.NewLimiter(share.Config{Self: l.self.String()}, org.Name, now)
+			}
+			limiter.Set(now, org.TokensPerSecond, org.BurstTokens, max(len(hosts), 1))
+			l.limiters[org.Name] = limiter
+		}
+	}
+}
+
+// Take takes tokens of the organisation's limit or refuses with when to come back.
+func (l *limits) Take(org rules.Organisation, tokens int) error {
+	l.mu.RLock()
+	limiter := l.limiters[org.Name]
+	l.mu.RUnlock()
+	if limiter == nil {
+		return nil
+	}
+	ok, wait := limiter.Allow(l.clk.Now(), tokens)
+	if ok {
+		return nil
+	}
+	if wait == 0 {
+		wait = limitRetry
+	}
+	return apierror.NotRun(apierror.KindLimitExceeded, "come back later, or ask your partner for a higher limit",
+		"the limit of %s of %.0f tokens a second is used up here", org.Name, org.TokensPerSecond).After(wait)
+}
--- /dev/null
+++ b/internal/server/status.go
@@ -0,0 +1,135 @@
+package server
+
+import (
+	"sync"
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/audit"
+	"github.com/plantainrun/plantainrun/internal/buildinfo"
+	"github.com/plantainrun/plantainrun/internal/metrics"
+	"github.com/plantainrun/plantainrun/internal/schedule"
+	"github.com/plantainrun/plantainrun/internal/status"
+)
+
+// refusals counts errors by kind for the status, beside the metrics.
+type refusals struct {
+	*metrics.Set
+	mu     sync.Mutex
+	byKind map[apierror.Kind]int64
+}
+
+func newRefusals(set *metrics.Set) *refusals {
+	return &refusals{Set: set, byKind: make(map[apierror.Kind]int64)}
+}
+
+// Refused counts an error answer.
+func (r *refusals) Refused(kind apierror.Kind) {
+	r.Set.Refused(kind)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byKind[kind]++
+}
+
+func (r *refusals) counters() []status.RefusalCounter {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []status.RefusalCounter
+	for _, kind := range apierror.Kinds() {
+		if n := r.byKind[kind]; n > 0 {
+			out = append(out, status.RefusalCounter{Kind: string(kind), Count: n})
+		}
+	}
+	return out
+}
+
+// Ready returns nil when the host takes requests, or why it does not.
+func (s *Server) Ready() error {
+	if s.isDraining() {
+		return apierror.NotRun(apierror.KindDraining, "use another host", "the host is leaving")
+	}
+	ready := s.knowledge.Ready()
+	if !ready.Ready {
+		return apierror.NotRun(apierror.KindNotReady, ready.Next, "%s", ready.Reason)
+	}
+	return nil
+}
+
+// Audit returns the entries of the audit trail that match.
+func (s *Server) Audit(q audit.Query) []audit.Entry { return s.trail.Find(q) }
+
+// Status is the state of the host at a glance.
+func (s *Server) Status() status.Status {
+	ready := s.knowledge.Ready()
+	st := status.Status{
+		Host: s.self.Host, Incarnation: s.self.String(), Version: buildinfo.Version,
+		Partner: s.settings.Host.Partner, Domain: s.settings.Host.Domain,
+		Ready: s.Ready() == nil, NotReady: ready.Reason, Draining: s.isDraining(),
+		UpSeconds: time.Since(s.started).Seconds(), Reader: s.knowledge.Stats().Reader,
+		Values: s.values(), Peers: s.peers(), Refusals: s.refusals.counters(), Tickets: s.tickets(),
+	}
+	snap := s.scheduler.Snapshot()
+	for _, t := range snap.Targets {
+		st.Targets = append(st.Targets, targetStatus(t))
+	}
+	for _, m := range snap.Models {
+		for _, depth := range m.Queued {
+			st.Queued += depth.Items
+		}
+	}
+	return st
+}
+
+func targetStatus(t schedule.TargetSnapshot) status.Target {
+	state := "up"
+	switch {
+	case t.Down:
+		state = "down"
+	case t.Leaving:
+		state = "leaving"
+	case !t.Usable:
+		state = "silent"
+	}
+	wait := 0.0
+	if t.Prefill > 0 {
+		wait = t.Backlog / t.Prefill
+	}
+	return status.Target{
+		ID: t.ID, Model: t.Model, State: state, Running: t.Running, WaitSeconds: wait,
+		MemoryReserved: t.Reserved, MemoryTotal: t.Memory,
+	}
+}
+
+func (s *Server) values() []status.Value {
+	ages := s.knowledge.Ages()
+	out := make([]status.Value, 0, len(ages))
+	for _, age := range ages {
+		v := status.Value{Key: age.Key, Revision: age.Revision, AgeSeconds: age.Confirmed.Seconds()}
+		if age.Confirmed < 0 {
+			v.Problem = "the configuration service never confirmed it"
+		}
+		if age.Refused > 0 {
+			v.Problem = "a later revision was refused, see the audit trail"
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+func (s *Server) peers() []status.Peer {
+	infos := s.mesh.Peers()
+	out := make([]status.Peer, 0, len(infos))
+	for _, p := range infos {
+		peer := status.Peer{Host: p.Host, State: string(p.State)}
+		if !p.Peer.IsZero() {
+			peer.Incarnation = p.Peer.String()
+		}
+		out = append(out, peer)
+	}
+	return out
+}
+
+func (s *Server) tickets() status.Tickets {
+	stats := s.owner.Stats().Ledger
+	return status.Tickets{Held: int(stats.Entries), Capacity: s.settings.Limits.LedgerEntries, Bytes: stats.Bytes}
+}
--- /dev/null
+++ b/internal/server/wire.go
@@ -0,0 +1,159 @@
+package server
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/coord/ledger"
+	"github.com/plantainrun/plantainrun/coord/retry"
+	"github.com/plantainrun/plantainrun/internal/audit"
+	"github.com/plantainrun/plantainrun/internal/caller"
+	"github.com/plantainrun/plantainrun/internal/completion"
+	"github.com/plantainrun/plantainrun/internal/cost"
+	"github.com/plantainrun/plantainrun/internal/engine"
+	"github.com/plantainrun/plantainrun/internal/forward"
+	"github.com/plantainrun/plantainrun/internal/httpserver"
+	"github.com/plantainrun/plantainrun/internal/idempotent"
+	"github.com/plantainrun/plantainrun/internal/knowledge"
+	"github.com/plantainrun/plantainrun/internal/mesh"
+	"github.com/plantainrun/plantainrun/internal/metrics"
+	"github.com/plantainrun/plantainrun/internal/once"
+	"github.com/plantainrun/plantainrun/internal/operator"
+	"github.com/plantainrun/plantainrun/internal/platform"
+	"github.com/plantainrun/plantainrun/internal/schedule"
+	"github.com/plantainrun/plantainrun/internal/service"
+)
+
+const (
+	auditEntries     = 4096
+	closedLedgers    = 64
+	closedBytes      = 128 << 20
+	platformBurst    = 16  // reads
+	guessedTokenSize = 4.0 // bytes, before a model's own ratio is known
+)
+
+// buildEdges makes what other parts report to, and the mesh.
+func (s *Server) buildEdges() error {
+	s.metrics = metrics.New()
+	s.refusals = newRefusals(s.metrics)
+	s.trail = audit.New(auditEntries)
+	cfg := mesh.Config{
+		Self: s.self, Domain: s.settings.Host.Domain, Partner: s.settings.Host.Partner,
+		Listen: s.addrs.Peers, Logger: s.log,
+	}
+	if !s.settings.Peer.Plain {
+		pem, err := mesh.LoadPEM(s.settings.Peer.CAFile, s.settings.Peer.CertFile, s.settings.Peer.KeyFile)
+		if err != nil {
+			return err
+		}
+		if cfg.TLS, err = mesh.NewTLSConfig(pem); err != nil {
+			return err
+		}
+	}
+	var err error
+	s.mesh, err = mesh.New(cfg)
+	return err
+}
+
+// buildKnowledge makes the client of the platform and what the host knows.
+func (s *Server) buildKnowledge() error {
+	client := platform.NewClient(platform.Config{
+		Address:        "http://" + s.addrs.Platform.String(),
+		ReadsPerSecond: s.settings.Platform.ReadsPerSecond,
+		ReadBurst:      platformBurst,
+	})
+	var err error
+	s.knowledge, err = knowledge.New(knowledge.Config{
+		Host: s.self.Host, Domain: s.settings.Host.Domain, Partners: s.settings.Platform.Partners(),
+		Source: client, Audit: s.trail, Log: s.log, StartWait: s.settings.Platform.FirstWait,
+	})
+	s.fleet = newFleet(s.settings.Host)
+	return err
+}
+
+// buildDecisions makes the scheduler and its sources.
+func (s *Server) buildDecisions() error {
+	s.estimator = cost.NewEstimator()
+	s.scheduler = schedule.New(schedule.Config{
+		Self: s.self.Host, Incarnation: s.self.String(), Domain: s.settings.Host.Domain,
+		Clock: s.clk, Estimator: s.estimator,
+	})
+	s.engines = engine.New(engine.Options{})
+	s.limits = newLimits(s.self, s.clk)
+	s.poller = newPoller(s.engines, s.scheduler, s.clk)
+	return nil
+}
+
+// buildCalls makes the execution of service calls.
+func (s *Server) buildCalls() error {
+	budget, err := retry.New(retry.DefaultConfig())
+	if err != nil {
+		return err
+	}
+	svc := service.New(service.DefaultConfig())
+	cfg := once.DefaultOwnerConfig()
+	cfg.TicketLifetime = s.settings.Limits.TicketLifetime
+	cfg.Ledger.MaxEntries = s.settings.Limits.LedgerEntries
+	cfg.Ledger.MaxBytes = int(s.settings.Limits.LedgerBytes)
+	s.owner, err = once.NewOwner(s.self, s.clk, cfg, s.fleet, svc, budget)
+	if err != nil {
+		return err
+	}
+	store := ledger.NewClosedStore(s.clk, closedLedgers, closedBytes)
+	s.ledgers = forward.NewLedgers(s.mesh, store, s.fleet)
+	forward.ServeCalls(s.mesh, s.owner)
+	router := once.NewRouter(s.owner, s.ledgers, forward.NewCalls(s.mesh, s.fleet))
+	calls := &serviceCalls{router: router, repeat: idempotent.New(s.fleet, svc, budget), rules: s}
+	runner := &completion.Local{
+		Estimator: estimate{s.estimator}, Scheduler: s.scheduler, Engines: &engines{client: s.engines, self: s.self},
+		Suspects: noSuspects{}, Limiter: s.limits, Retries: budget, Observer: s.metrics, Clock: s.clk,
+	}
+	prompts := forward.NewPrompts(s.mesh, s.fleet, estimate{s.estimator})
+	runner.Overflow = prompts
+	forward.ServePrompts(s.mesh, runner, s)
+	return s.buildCallers(runner, calls)
+}
+
+func (s *Server) buildCallers(runner completion.Runner, calls caller.Services) error {
+	var err error
+	s.callers, err = httpserver.New("callers", s.addrs.Callers)
+	if err != nil {
+		return err
+	}
+	handler := &caller.Handler{
+		Rules: s, Runner: runner, Services: calls, Observer: s.refusals, Clock: s.clk,
+		Limits: caller.Limits{
+			BodyBytes: s.settings.Limits.BodyBytes, TimeLimit: s.settings.Limits.TimeLimit,
+			MaxTimeLimit: s.settings.Limits.MaxTimeLimit, OutputTokens: s.settings.Limits.OutputTokens,
+			BytesPerToken: guessedTokenSize,
+		},
+		NewID: uuid.NewString,
+	}
+	handler.Register(s.callers)
+	return nil
+}
+
+// buildInterfaces makes the operators' listener.
+func (s *Server) buildInterfaces() error {
+	var err error
+	s.operators, err = httpserver.New("operators", s.addrs.Operators)
+	if err != nil {
+		return err
+	}
+	operator.New(s.settings.Operator.Key, s, s, s.metrics.Handler()).Register(s.operators)
+	return nil
+}
+
+// learned passes what is in force to the parts that act on it.
+func (s *Server) learned(snap knowledge.Snapshot) {
+	s.fleet.set(snap)
+	s.mesh.SetHosts(snap.Hosts.Hosts)
+	s.scheduler.SetTargets(snap.Targets.Targets)
+	s.scheduler.SetHosts(s.fleet.domainHosts())
+	s.scheduler.SetRules(ruleSets(snap.Rules))
+	s.limits.set(snap.Rules, s.fleet.liveHosts())
+	s.poller.set(s.fleet.engines())
+	s.log.Debug("knowledge changed", zap.Time("at", time.Now()))
+}
