--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -66,7 +66,7 @@
 	for _, r := range st.Refusals {
 		fmt.Fprintf(tw, "%s\t%d\n", r.Kind, r.Count)
 	}
-	tw.Flush()
+	_ = tw.Flush()
 }
 
 func seconds(s float64) string {
