--- a/internal/engine/cancel.go
+++ b/internal/engine/cancel.go
@@ -49,15 +49,15 @@
 	Overflow     uint64 // left to the sweep since the queue was full
 }
 
-// sendFunc sends one cancel and reports whether the engine held the stream.
-type sendFunc func(ctx context.Context, target topology.Target, id string) (held bool, err error)
+// SendFunc sends one cancel and reports whether the engine held the stream.
+type SendFunc func(ctx context.Context, target topology.Target, id string) (held bool, err error)
 
 // Canceller cancels streams in the background. It tries again, with backoff
 // and jitter, until the engine acknowledges or the stream's deadline passes.
 // It is safe for concurrent use.
 type Canceller struct {
 	opts CancelOptions
-	send sendFunc
+	send SendFunc
 	ctx  context.Context
 	stop context.CancelFunc
 	wake chan struct{}
@@ -80,7 +80,9 @@
 	confirmed bool // the engine has said that it held the stream, so its not knowing it is final
 }
 
-func newCanceller(opts CancelOptions, send sendFunc) *Canceller {
+// NewCanceller returns a canceller that sends with send. Close it to end its
+// goroutines.
+func NewCanceller(opts CancelOptions, send SendFunc) *Canceller {
 	c := &Canceller{
 		opts: opts.withDefaults(), send: send, wake: make(chan struct{}, 1),
 		inFlight: make(map[string]int), idle: make(chan struct{}),
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -54,7 +54,7 @@
 	if c.dial == nil {
 		c.dial = (&net.Dialer{}).DialContext
 	}
-	c.canceller = newCanceller(opts.Cancel, c.sendCancel)
+	c.canceller = NewCanceller(opts.Cancel, c.sendCancel)
 	return c
 }
 
--- a/internal/engine/consume.go
+++ b/internal/engine/consume.go
@@ -23,12 +23,13 @@
 func (a *attempt) consume(x *exchange) error {
 	lines := bufio.NewScanner(x.resp.Body)
 	lines.Buffer(nil, longestLine)
+	before := a.result.Tokens
 	for {
 		x.expect(a.client.bounds.Token(a.remaining()))
 		ok := lines.Scan()
 		x.rest()
 		if !ok {
-			return a.readEnded(x, lines.Err())
+			return a.readEnded(x, lines.Err(), a.result.Tokens > before)
 		}
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
@@ -46,14 +47,15 @@
 	}
 }
 
-// readEnded classifies the end of a connection before the end marker. Silence
-// before the first token may be the prefill of a long prompt: the engine is
-// then only asked again, and no other connection is suspected.
-func (a *attempt) readEnded(x *exchange, err error) error {
+// readEnded classifies the end of a connection before the end marker. A
+// connection that brought the header but no token yet may be waiting for a long
+// prefill or a slow engine: the engine is then only asked again, without end
+// until the time limit, and no other connection is suspected.
+func (a *attempt) readEnded(x *exchange, err error, flowed bool) error {
 	silent := x.silent()
 	x.abandon()
 	switch {
-	case silent && a.result.Tokens == 0:
+	case silent && !flowed:
 		a.faults = 0
 		return faultSilent
 	case silent:
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -58,7 +59,7 @@
 // the reason engineapi.ReasonStaleFencing by engines that check it.
 func (c *Client) PutState(ctx context.Context, target topology.Target, order engineapi.State) (engineapi.State, error) {
 	var state engineapi.State
-	_, err := c.command(ctx, target, http.MethodPut, engineapi.PathState, "", order, &state)
+	_, err := c.command(ctx, target, http.MethodPut, engineapi.PathState, rand.Text(), order, &state)
 	return state, err
 }
 
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -66,10 +66,16 @@
 	OutputTokens int `json:"output_tokens"`
 }
 
+// The kinds of Held.
+const (
+	HeldStream = "stream"
+	HeldKV     = "kv"
+)
+
 // Held is one thing that pins an engine's memory.
 type Held struct {
 	ID         string `json:"id"`
-	Kind       string `json:"kind"` // "stream" or "kv"
+	Kind       string `json:"kind"` // HeldStream or HeldKV
 	Owner      string `json:"owner"`
 	DeadlineMS int64  `json:"deadline_ms"`
 	Tokens     int    `json:"tokens"`
--- /dev/null
+++ b/internal/sweep/fleet_test.go
@@ -0,0 +1,206 @@
+package sweep_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/internal/engine"
+	"github.com/plantainrun/plantainrun/internal/engineapi"
+	"github.com/plantainrun/plantainrun/internal/standin/enginemodel"
+	"github.com/plantainrun/plantainrun/internal/sweep"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+const (
+	domain   = "north"
+	interval = 10 * time.Second
+	grace    = 5 * time.Second
+	lag      = 30 * time.Second
+)
+
+var errLost = errors.New("message was lost")
+
+// fleet is some engines that never drop a stream by themselves, and hosts that
+// submit, cancel, sweep and die.
+type fleet struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	lossy   bool
+	engines []*enginemodel.Engine
+	hosts   []*host
+	gone    map[identity.Incarnation]time.Time // when it became known
+	wrong   []string
+	latest  time.Time // deadline
+	seq     int
+}
+
+type host struct {
+	id        string
+	self      identity.Incarnation
+	canceller *engine.Canceller
+	sweeper   *sweep.Sweeper
+	stop      context.CancelFunc
+	alive     bool
+	listedTo  time.Time // until then others still list it as live
+}
+
+func newFleet(engines, hosts int, seed uint64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), gone: make(map[identity.Incarnation]time.Time), latest: time.Now()}
+	for i := range engines {
+		cfg := enginemodel.Config{MemoryTokens: 100_000, PrefillRate: 100, DecodeInterval: time.Second, KeepExpired: true}
+		f.engines = append(f.engines, enginemodel.New(cfg, time.Now(), uint64(i)))
+	}
+	for i := range hosts {
+		f.hosts = append(f.hosts, &host{id: fmt.Sprint("host-", i)})
+	}
+	for _, h := range f.hosts {
+		f.start(h)
+	}
+	return f
+}
+
+func (f *fleet) target(i int) topology.Target {
+	return topology.Target{ID: fmt.Sprint(i), Kind: topology.KindEngine, Domain: domain}
+}
+
+func (f *fleet) model(t topology.Target) *enginemodel.Engine {
+	var i int
+	_, _ = fmt.Sscan(t.ID, &i)
+	return f.engines[i]
+}
+
+// start gives the host a new process.
+func (f *fleet) start(h *host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seq++
+	h.self = identity.Incarnation{Host: h.id, Start: uint64(f.seq)}
+	h.canceller = engine.NewCanceller(engine.CancelOptions{}, f.CancelStream)
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop, h.alive = stop, true
+	opts := sweep.Options{Host: h.id, Domain: domain, Interval: interval, Grace: grace, Lag: lag}
+	h.sweeper = sweep.New(opts, checked{f}, f)
+	go h.sweeper.Run(ctx)
+}
+
+// crash ends the host's process; the others hear of it after heard.
+func (f *fleet) crash(h *host, heard time.Duration) {
+	h.stop()
+	h.canceller.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.alive = false
+	h.listedTo = time.Now().Add(heard)
+	f.gone[h.self] = h.listedTo
+}
+
+func (f *fleet) stop() {
+	for _, h := range f.hosts {
+		if h.alive {
+			h.stop()
+			h.canceller.Close()
+		}
+	}
+}
+
+// call applies do unless the request is lost; the acknowledgement may be lost too.
+func (f *fleet) call(t topology.Target, do func(e *enginemodel.Engine) bool) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lossy && f.random.IntN(3) == 0 {
+		return false, errLost
+	}
+	held := do(f.model(t))
+	if f.lossy && f.random.IntN(2) == 0 {
+		return false, errLost
+	}
+	return held, nil
+}
+
+func (f *fleet) CancelStream(_ context.Context, t topology.Target, id string) (bool, error) {
+	return f.call(t, func(e *enginemodel.Engine) bool { return e.Cancel(time.Now(), id) })
+}
+
+func (f *fleet) ReleaseKV(_ context.Context, t topology.Target, id string) (bool, error) {
+	return f.call(t, func(e *enginemodel.Engine) bool { return e.Release(time.Now(), id) })
+}
+
+func (f *fleet) Held(_ context.Context, t topology.Target) ([]engineapi.Held, error) {
+	var list []engineapi.Held
+	_, err := f.call(t, func(e *enginemodel.Engine) bool {
+		e.Advance(time.Now())
+		list = e.Held()
+		return true
+	})
+	return list, err
+}
+
+func (f *fleet) LiveHosts(string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var live []string
+	for _, h := range f.hosts {
+		if h.alive || time.Now().Before(h.listedTo) {
+			live = append(live, h.id)
+		}
+	}
+	return live
+}
+
+func (f *fleet) Engines(string) []topology.Target {
+	var all []topology.Target
+	for i := range f.engines {
+		all = append(all, f.target(i))
+	}
+	return all
+}
+
+func (f *fleet) GoneSince(owner identity.Incarnation) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since, gone := f.gone[owner]
+	return since, gone && !time.Now().Before(since)
+}
+
+// used is the memory that all engines together have reserved.
+func (f *fleet) used() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := 0
+	for _, e := range f.engines {
+		e.Advance(time.Now())
+		sum += e.Used()
+	}
+	return sum
+}
+
+// checked is the fleet as sweepers see it: it notes releases of what a living
+// owner still has time for.
+type checked struct{ *fleet }
+
+func (c checked) CancelStream(ctx context.Context, t topology.Target, id string) (bool, error) {
+	c.check(t, id)
+	return c.fleet.CancelStream(ctx, t, id)
+}
+
+func (c checked) ReleaseKV(ctx context.Context, t topology.Target, id string) (bool, error) {
+	c.check(t, id)
+	return c.fleet.ReleaseKV(ctx, t, id)
+}
+
+func (c checked) check(t topology.Target, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.model(t).Held() {
+		owner, _ := identity.Parse(h.Owner)
+		_, gone := c.gone[owner]
+		if h.ID == id && !gone && !time.Now().After(time.UnixMilli(h.DeadlineMS).Add(grace)) {
+			c.wrong = append(c.wrong, fmt.Sprintf("%s of %s was released before its time", id, h.Owner))
+		}
+	}
+}
