--- a/coord/reconcile/attempt.go
+++ b/coord/reconcile/attempt.go
@@ -22,7 +22,7 @@
 
 // run returns where the target stands and how long to wait before the next attempt.
 func (a *attempt) run(ctx context.Context) (Phase, time.Duration) {
-	interval := a.r.cfg.Interval
+	interval := a.r.cfg.Bounds.Interval
 	own, err := a.read(ctx, a.want.Target)
 	if err != nil {
 		return PhaseUnreadable, interval
@@ -76,7 +76,7 @@
 		return Observed{}, errors.New("the target has no address")
 	}
 	a.r.stats.reads.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, a.r.cfg.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, a.r.cfg.Bounds.Timeout)
 	defer cancel()
 	return t.ReadState(ctx)
 }
@@ -119,7 +119,7 @@
 // order sends the wanted state if everything that the decision rests on still holds, and
 // reads the target again.
 func (a *attempt) order(ctx context.Context, own Observed) (Phase, time.Duration) {
-	interval := a.r.cfg.Interval
+	interval := a.r.cfg.Bounds.Interval
 	t := a.r.cfg.Target(a.want.Target)
 	if t == nil {
 		return PhaseUnreadable, interval
@@ -128,7 +128,7 @@
 		return phase, interval
 	}
 	a.r.stats.orders.Add(1)
-	orderCtx, cancel := context.WithTimeout(ctx, a.r.cfg.Timeout)
+	orderCtx, cancel := context.WithTimeout(ctx, a.r.cfg.Bounds.Timeout)
 	err := t.Order(orderCtx, a.plan.Revision(), a.want.Spec)
 	cancel()
 	if errors.Is(err, ErrFenced) {
@@ -156,7 +156,7 @@
 		return PhaseRecheck, false
 	case !own.Spec.sameWeights(a.want.Spec) && !a.plan.InSlot(a.want.Target, now):
 		return PhaseWaitingForSlot, false
-	case !a.want.ChecksFencing && now.Sub(confirmed) > a.r.cfg.ConfirmedFor:
+	case !a.want.ChecksFencing && now.Sub(confirmed) > a.r.cfg.Bounds.ConfirmedFor:
 		a.r.stats.unconfirmed.Add(1)
 		return PhaseUnconfirmed, false
 	case !a.mark.Valid():
--- a/coord/reconcile/reconciler.go
+++ b/coord/reconcile/reconciler.go
@@ -26,7 +26,7 @@
 	Plan() (plan *Plan, confirmed time.Time)
 }
 
-// Defaults of Config.
+// Defaults of Bounds.
 const (
 	DefaultInterval     = 5 * time.Second
 	DefaultTimeout      = 2 * time.Second
@@ -36,23 +36,27 @@
 	slotLead = 3 * time.Second
 )
 
-// Config is what a Reconciler works with. Zero durations take the defaults.
+// Bounds are a reconciler's times. Zero values take the defaults.
+type Bounds struct {
+	Interval     time.Duration // between two reads of a target
+	Timeout      time.Duration // of one read or order
+	Settle       time.Duration // after a new plan, until its first order
+	ConfirmedFor time.Duration // how long a confirmation of the plan counts for targets that don't check fencing
+}
+
+// Config is what a Reconciler works with.
 type Config struct {
-	Clock  clock.Clock
+	Clock  clock.Clock // nil: the machine's
 	Pauses *pause.Detector
 	Source Source
 	// Responsible reports whether this process looks after a target now.
 	Responsible func(target string) bool
-	// Usable reports whether a target counts as serving; leaving targets do not. It also says
-	// whether the target should get orders.
+	// Usable reports whether a target may get orders and counts as serving; leaving
+	// targets do not.
 	Usable func(target string) bool
 	// Target returns the means to reach a target, nil if it has no address.
 	Target func(target string) Target
-
-	Interval     time.Duration // between two reads of a target
-	Timeout      time.Duration // of one read or order
-	Settle       time.Duration // after a new plan, until its first order
-	ConfirmedFor time.Duration // how long a confirmation of the plan counts for targets that don't check fencing
+	Bounds Bounds
 }
 
 // Reconciler brings the targets for which this process is responsible to the plan's state. It
@@ -69,10 +73,13 @@
 
 // New returns a reconciler. Run or Reconcile make it work.
 func New(cfg Config) *Reconciler {
-	setDefault(&cfg.Interval, DefaultInterval)
-	setDefault(&cfg.Timeout, DefaultTimeout)
-	setDefault(&cfg.Settle, DefaultSettle)
-	setDefault(&cfg.ConfirmedFor, DefaultConfirmedFor)
+	setDefault(&cfg.Bounds.Interval, DefaultInterval)
+	setDefault(&cfg.Bounds.Timeout, DefaultTimeout)
+	setDefault(&cfg.Bounds.Settle, DefaultSettle)
+	setDefault(&cfg.Bounds.ConfirmedFor, DefaultConfirmedFor)
+	if cfg.Clock == nil {
+		cfg.Clock = clock.System{}
+	}
 	return &Reconciler{cfg: cfg, status: make(map[string]Status)}
 }
 
@@ -105,7 +112,7 @@
 				delete(watched, target)
 			})
 		}
-		if !sleep(ctx, r.cfg.Interval) {
+		if !sleep(ctx, r.cfg.Bounds.Interval) {
 			return
 		}
 	}
@@ -171,7 +178,7 @@
 func (r *Reconciler) settled() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cfg.Clock.Now().Sub(r.adoptedAt) >= r.cfg.Settle
+	return r.cfg.Clock.Now().Sub(r.adoptedAt) >= r.cfg.Bounds.Settle
 }
 
 // Reconcile reads a target once and orders what differs, if it may now. It returns how
@@ -179,11 +186,11 @@
 func (r *Reconciler) Reconcile(ctx context.Context, target string) time.Duration {
 	plan, _ := r.plan()
 	if plan == nil {
-		return r.cfg.Interval
+		return r.cfg.Bounds.Interval
 	}
 	want, _, found := plan.Want(target)
 	if !found || !r.cfg.Usable(target) {
-		return r.cfg.Interval
+		return r.cfg.Bounds.Interval
 	}
 	a := attempt{r: r, plan: plan, want: want, mark: r.cfg.Pauses.Mark()}
 	phase, wait := a.run(ctx)
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -26,6 +26,7 @@
 // Config is what a Mesh is made of. Zero values of the bounds take the defaults.
 type Config struct {
 	Self    identity.Incarnation
+	Started time.Time // of this process; peers tell a host's processes apart by it. Zero: when New is called
 	Domain  string
 	Partner string
 	Listen  netip.AddrPort
@@ -54,6 +55,9 @@
 	setDefault(&c.DialTimeout, DefaultDialTimeout)
 	setDefault(&c.OpenTimeout, DefaultOpenTimeout)
 	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	if c.Started.IsZero() {
+		c.Started = time.Now()
+	}
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
--- a/internal/mesh/handshake.go
+++ b/internal/mesh/handshake.go
@@ -82,6 +82,7 @@
 	return &meshpb.Hello{
 		Version: protocolVersion, Host: m.cfg.Self.Host, Start: m.cfg.Self.Start,
 		Domain: m.cfg.Domain, Partner: m.cfg.Partner, WantHost: want, Refusal: refusal,
+		StartedMs: m.cfg.Started.UnixMilli(),
 	}
 }
 
--- a/internal/mesh/links.go
+++ b/internal/mesh/links.go
@@ -41,6 +41,17 @@
 	return append(slots, gatewaySlots(self, domain, byDomain)...)
 }
 
+// PlanLinks returns the link hosts of self when every host can be reached, sorted. It is a
+// pure function of the list, the same on every host that has it.
+func PlanLinks(self string, hosts []topology.Host) []string {
+	var links []string
+	for _, candidates := range chooseSlots(self, hosts) {
+		links = append(links, candidates[0])
+	}
+	slices.Sort(links)
+	return slices.Compact(links)
+}
+
 func gatewaySlots(self, domain string, byDomain map[string][]string) []slot {
 	domains := make([]string, 0, len(byDomain))
 	for d := range byDomain {
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -30,6 +30,10 @@
 	BytesIn  uint64        // over the open connections
 	BytesOut uint64
 	LastUp   time.Time // when the newest connection came up
+	Started  time.Time // of the peer's process, by its clock
+	// Unreachable counts the dials since the last connection that got no answer from
+	// the peer; refusals are answers.
+	Unreachable int
 }
 
 // peer is one host of the list with its connections.
@@ -43,7 +47,9 @@
 	last     identity.Incarnation
 	domain   string
 	lastUp   time.Time
+	started  time.Time
 	failures int
+	silent   int       // failures without an answer
 	retryAt  time.Time // no link dial before
 	wantedAt time.Time // since when a link is missing
 }
@@ -104,7 +110,8 @@
 func (p *peer) info() PeerInfo {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	info := PeerInfo{Host: p.host, Peer: p.last, Domain: p.domain, State: LinkIdle, LastUp: p.lastUp}
+	info := PeerInfo{Host: p.host, Peer: p.last, Domain: p.domain, State: LinkIdle, LastUp: p.lastUp,
+		Started: p.started, Unreachable: p.silent}
 	if p.failures > 0 {
 		info.State = LinkDown
 	}
@@ -180,7 +187,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sessions = append(p.sessions, s)
-	p.last, p.domain, p.lastUp = s.peer, s.domain, time.Now()
+	p.last, p.domain, p.lastUp, p.started = s.peer, s.domain, time.Now(), s.started
+	p.silent = 0
 	p.failures, p.retryAt, p.wantedAt = 0, time.Time{}, time.Time{}
 }
 
@@ -197,5 +205,8 @@
 		return
 	}
 	p.failures++
+	if !errors.Is(err, ErrRefused) && !errors.Is(err, ErrIdentity) && !errors.Is(err, context.Canceled) {
+		p.silent++
+	}
 	p.retryAt = time.Now().Add(dialBackoff(p.failures))
 }
--- a/internal/mesh/session.go
+++ b/internal/mesh/session.go
@@ -22,7 +22,8 @@
 	peer     identity.Incarnation
 	domain   string
 	partner  string
-	outbound bool // this side dialled
+	started  time.Time // of the peer's process, by its clock
+	outbound bool      // this side dialled
 	ctx      context.Context
 	cancel   context.CancelFunc
 
@@ -53,6 +54,7 @@
 		peer:    identity.Incarnation{Host: hello.GetHost(), Start: hello.GetStart()},
 		domain:  hello.GetDomain(),
 		partner: hello.GetPartner(),
+		started: time.UnixMilli(hello.GetStartedMs()),
 	}
 	s.ctx, s.cancel = context.WithCancel(m.ctx)
 	s.lastUsed.Store(time.Now().UnixNano())
