--- a/coord/membership/digest.go
+++ b/coord/membership/digest.go
@@ -67,7 +67,7 @@
 	_, _ = d.WriteString(e.ID)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(e.Incarnation)
-	if e.Type == EventRefused {
+	if e.Type == EventRefused || e.Type == EventSettled {
 		var order [8]byte
 		binary.BigEndian.PutUint64(order[:], uint64(e.Order))
 		_, _ = d.Write(order[:])
--- a/coord/membership/list.go
+++ b/coord/membership/list.go
@@ -52,10 +52,10 @@
 		if m == nil {
 			m = t.addLocked(s, key{kind, e.ID}, at.now)
 		}
-		wasLeaving, state := m.listLeaving, m.state
+		wasLeaving, state, cleared := m.listLeaving, m.state, m.clearedAt
 		m.list(e, at)
 		m.shared = m.shared || m.state != state
-		if m.listLeaving != wasLeaving || m.state != state {
+		if m.listLeaving != wasLeaving || m.state != state || m.clearedAt != cleared {
 			events = append(events, m.events(at)...)
 		}
 	}
--- a/coord/membership/member.go
+++ b/coord/membership/member.go
@@ -139,7 +139,14 @@
 }
 
 func (m *member) isRefused(at moment) bool {
-	return m.refused > m.clearedAt && at.now.UnixMilli()-m.refused < at.bounds.RefusalTTL.Milliseconds()
+	return m.refused > m.clearedAt && m.refusalCounts(m.refused, at)
+}
+
+// refusalCounts reports whether a refusal at the given time is not too old, and not from a
+// clock that is far ahead.
+func (m *member) refusalCounts(refused int64, at moment) bool {
+	age := at.now.UnixMilli() - refused
+	return refused > 0 && age < at.bounds.RefusalTTL.Milliseconds() && age >= -at.bounds.ListLag.Milliseconds()
 }
 
 func (m *member) isSuspected(at moment) bool {
@@ -172,12 +179,20 @@
 	if m.listMark > 0 {
 		events = append(events, Event{Type: EventList, Kind: m.kind, ID: m.id, Revision: m.listMark})
 	}
-	if m.isRefused(at) {
-		events = append(events, Event{Type: EventRefused, Kind: m.kind, ID: m.id, Order: m.refused})
+	if !m.refusalCounts(m.refused, at) {
+		return events
+	}
+	events = append(events, m.refusedEvent())
+	if m.clearedAt > 0 {
+		events = append(events, Event{Type: EventSettled, Kind: m.kind, ID: m.id, Order: m.clearedAt})
 	}
 	return events
 }
 
+func (m *member) refusedEvent() Event {
+	return Event{Type: EventRefused, Kind: m.kind, ID: m.id, Order: m.refused}
+}
+
 func (m *member) incarnationEvent() Event {
 	return Event{
 		Type: EventIncarnation, Kind: m.kind, ID: m.id,
--- a/coord/membership/table.go
+++ b/coord/membership/table.go
@@ -128,8 +128,8 @@
 			events = append(events, m.incarnationEvent())
 			return true
 		}
-		m.refused, m.touched = max(m.refused, now.UnixMilli()), now
-		events = append(events, Event{Type: EventRefused, Kind: KindTarget, ID: id, Order: m.refused})
+		m.refused, m.touched = max(m.refused, now.UnixMilli(), m.clearedAt+1), now
+		events = append(events, m.refusedEvent())
 		return true
 	})
 	return events
@@ -191,8 +191,9 @@
 func (t *Table) apply(e Event) bool {
 	news := false
 	t.update(key{e.Kind, e.ID}, true, func(m *member, at moment) bool {
+		shared := m.shared
 		news = m.merge(e, at)
-		return news
+		return news || m.shared != shared
 	})
 	return news
 }
@@ -202,9 +203,8 @@
 	switch e.Type {
 	case EventIncarnation:
 		changed := m.advance(e.Incarnation, e.Order, e.State, at.now)
-		current := m.incarnation == e.Incarnation
-		learned := current && !m.shared
-		m.shared = m.shared || current
+		learned := m.incarnation == e.Incarnation && !m.shared
+		m.shared = true // a peer that knows less has to hear of the current one
 		return changed || learned
 	case EventList:
 		if e.Revision <= max(at.revision, m.listMark) {
@@ -213,11 +213,17 @@
 		m.listMark, m.touched = e.Revision, at.now
 		return true
 	case EventRefused:
-		if e.Order <= max(m.refused, m.clearedAt) {
+		if e.Order <= m.refused || !m.refusalCounts(e.Order, at) {
 			return false
 		}
 		m.refused, m.touched = e.Order, at.now
-		return m.isRefused(at)
+		return true
+	case EventSettled:
+		if e.Order <= m.clearedAt || !m.refusalCounts(e.Order, at) {
+			return false
+		}
+		m.clearedAt, m.touched = e.Order, at.now
+		return true
 	case EventSuspect:
 		contact := at.now.Sub(m.lastSeen) < at.bounds.SuspectTTL/2
 		if contact || e.Incarnation != m.incarnation || e.Order <= m.suspected {
--- a/coord/membership/types.go
+++ b/coord/membership/types.go
@@ -59,6 +59,9 @@
 	EventList
 	// EventRefused says that a member of unknown incarnation refused work since it leaves.
 	EventRefused
+	// EventSettled says that lists showed the member leaving or absent and then live again, so
+	// that refusals until then no longer count.
+	EventSettled
 	// EventSuspect says that a host could not be reached.
 	EventSuspect
 )
@@ -71,7 +74,7 @@
 	Incarnation string // for EventIncarnation and EventSuspect
 	// Order grows with each incarnation of a member, for EventIncarnation: the Unix
 	// time in milliseconds at which a host started or a target reported. For
-	// EventRefused and EventSuspect it is the time of the observation.
+	// EventRefused, EventSettled and EventSuspect it is the time of the observation.
 	Order    int64
 	State    State  // for EventIncarnation
 	Revision uint64 // of the list, for EventList
@@ -98,7 +101,7 @@
 		return e.Incarnation != "" && e.State >= Live && e.State <= Gone
 	case EventList:
 		return e.Revision > 0
-	case EventRefused:
+	case EventRefused, EventSettled:
 		return e.Order > 0
 	case EventSuspect:
 		return e.Order > 0 && e.Kind == KindHost
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -189,7 +189,7 @@
 	if len(partners) == 0 {
 		return
 	}
-	host := partners[round%len(partners)] // in turn: each link within a bounded time
+	host := partners[(round-round/sampleEvery)%len(partners)] // in turn: each link within a bounded time
 	g.calls.Go(func() { g.exchange(ctx, host) })
 }
 
