--- a/internal/schedule/grant.go
+++ b/internal/schedule/grant.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -13,8 +14,9 @@
 // PartedGrant is a Grant of a prompt that several engines hold in parts.
 type PartedGrant interface {
 	Grant
-	// Parts are the engines and their tokens, the one to call first; nil when
-	// the target holds the prompt alone.
+	// Parts are the engines and the tokens of the prompt that each holds, the one to
+	// call first; nil when the target holds the prompt alone. The answer's memory
+	// is reserved at the first.
 	Parts() []engineapi.Part
 }
 
@@ -23,7 +25,7 @@
 	pool     *pool
 	waiter   *waiter
 	target   topology.Target
-	parts    []engineapi.Part // all engines, also when there is only one
+	parts    []engineapi.Part // reserved memory, also when there is only one engine
 	reserved string           // id of the reservation and of the work
 
 	mu       sync.Mutex
@@ -44,7 +46,9 @@
 	if len(g.parts) == 1 {
 		return nil
 	}
-	return g.parts
+	parts := slices.Clone(g.parts)
+	parts[0].Tokens -= g.waiter.req.MaxTokens
+	return parts
 }
 
 // FirstToken records that the first token came.
@@ -84,22 +88,26 @@
 		return false
 	}
 	g := &grant{pool: p, waiter: w, target: at.target.info, parts: parts, reserved: id}
-	due := now.Add(p.candidates[i].FirstToken)
 	for _, part := range parts {
-		p.began(now, w, g, p.targets[part.Target], part, due)
+		p.targets[part.Target].occupy(w, 1)
 	}
+	p.began(now, w, g, at.target, now.Add(p.candidates[i].FirstToken))
 	p.stats.Granted++
 	p.after = append(p.after, func() { w.deliver(g, nil) })
 	return true
 }
 
-// began accounts for a part of a request at a target.
-func (p *pool) began(now time.Time, w *waiter, g *grant, t *targetState, part engineapi.Part, due time.Time) {
-	t.running++
+// occupy counts a request that holds memory at the target.
+func (t *targetState) occupy(w *waiter, count int) {
+	t.running += count
 	if w.req.Alone {
-		t.suspects++
+		t.suspects += count
 	}
-	prompt := min(float64(part.Tokens), p.prefillLeft(w, t))
+}
+
+// began accounts for the work of a request at its target.
+func (p *pool) began(now time.Time, w *waiter, g *grant, t *targetState, due time.Time) {
+	prompt := p.prefillLeft(w, t)
 	t.backlog.add(now, work{
 		id: g.reserved, priority: w.priority, at: now, tokens: prompt, left: prompt,
 		due: due, class: w.shape.Class, own: true,
@@ -107,17 +115,15 @@
 	if p.cfg.OnDispatch == nil {
 		return
 	}
-	hint := PeerDispatch{Target: part.Target, ID: g.reserved, Prompt: int(prompt), Priority: w.priority, At: now}
+	hint := PeerDispatch{Target: t.info.ID, ID: g.reserved, Prompt: int(prompt), Priority: w.priority, At: now}
 	p.after = append(p.after, func() { p.cfg.OnDispatch(hint) })
 }
 
 func (p *pool) firstToken(at time.Time, g *grant) {
 	p.mu.Lock()
 	defer p.unlock()
-	for _, part := range g.parts {
-		if t, ok := p.targets[part.Target]; ok {
-			t.backlog.remove(at, g.reserved)
-		}
+	if t, ok := p.targets[g.target.ID]; ok {
+		t.backlog.remove(at, g.reserved)
 	}
 	p.learned.cameTrue(g.waiter.shape.Class, g.waiter.predicted, at.Sub(g.waiter.offered))
 	p.dispatch(at)
@@ -128,23 +134,15 @@
 	defer p.unlock()
 	p.ledger.Release(g.reserved)
 	for _, part := range g.parts {
-		t, ok := p.targets[part.Target]
-		if !ok {
-			continue
-		}
-		t.running--
-		if g.waiter.req.Alone {
-			t.suspects--
-		}
-		t.backlog.remove(at, g.reserved)
-		if part.Target == g.target.ID {
-			t.ended(at, result)
+		if t, ok := p.targets[part.Target]; ok {
+			t.occupy(g.waiter, -1)
 		}
 	}
-	if result == outcome.Done && !first.IsZero() {
-		rates := p.targets[g.target.ID]
-		if rates != nil {
-			p.learned.answered(at.Sub(first), rates.rates.DecodeTime(float64(g.waiter.req.MaxTokens)))
+	if t, ok := p.targets[g.target.ID]; ok {
+		t.backlog.remove(at, g.reserved)
+		t.ended(at, result)
+		if result == outcome.Done && !first.IsZero() {
+			p.learned.answered(at.Sub(first), t.rates.DecodeTime(float64(g.waiter.req.MaxTokens)))
 		}
 	}
 	p.stats.Released++
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -42,9 +42,8 @@
 
 // place is where a candidate would run.
 type place struct {
-	target *targetState // the only or first engine
-	parts  []engineapi.Part
-	group  *group
+	target *targetState // the engine that computes the prompt and the answer
+	parts  []engineapi.Part // memory to reserve; nil: all of it at the target
 }
 
 // waiter is one offered request.
@@ -266,20 +265,18 @@
 			continue
 		}
 		parts, free := p.split(now, w, g)
-		if parts == nil {
+		if parts == nil || parts[0].Tokens <= w.req.MaxTokens {
 			lacking = true
 			continue
 		}
-		c := Candidate{Target: parts[0].Target, Free: free, Position: i, Count: len(w.route.groups), Grouped: true}
-		for _, part := range parts {
-			t := p.targets[part.Target]
-			t.estimate(now, &c, float64(part.Tokens), w.priority, w.shape.Class)
-		}
+		t := p.targets[parts[0].Target]
+		c := Candidate{Target: t.info.ID, Free: free, Position: i, Count: len(w.route.groups), Grouped: true}
+		t.estimate(now, &c, float64(w.req.PromptTokens), w.priority, w.shape.Class)
 		if !w.inTime(now, c.FirstToken) {
 			continue
 		}
 		p.candidates = append(p.candidates, c)
-		p.places = append(p.places, place{target: p.targets[parts[0].Target], parts: parts, group: g})
+		p.places = append(p.places, place{target: t, parts: parts})
 	}
 	return lacking
 }
--- a/internal/schedule/snapshot.go
+++ b/internal/schedule/snapshot.go
@@ -79,6 +79,9 @@
 	return s
 }
 
+// Reserved is how many tokens of a target's memory this host has promised.
+func (l *Local) Reserved(target string) int { return l.ledger.Used(target) }
+
 func (p *pool) snapshot(now time.Time, model string) ([]TargetSnapshot, ModelSnapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
