--- a/coord/share/share.go
+++ b/coord/share/share.go
@@ -21,6 +21,9 @@
 	"time"
 )
 
+// answerTimeout is how long a borrower waits for the answer to an Ask.
+const answerTimeout = 5 * time.Second
+
 // DefaultDrift is how much faster a borrower's clock may run, as a fraction.
 const DefaultDrift = 0.02
 
@@ -67,9 +70,10 @@
 }
 
 type pendingAsk struct {
-	id     LoanID
-	amount float64
-	until  time.Time // of the loan, should it come
+	id       LoanID
+	amount   float64
+	until    time.Time // of the loan, should it come
+	answerBy time.Time
 }
 
 // Split is one host's part of one limit. It is not safe for concurrent use.
@@ -89,6 +93,11 @@
 	borrowed map[LoanID]heldLoan
 	asks     map[uint64]pendingAsk
 	seq      uint64
+
+	// Kept in step with lent and borrowed.
+	lentSum     float64
+	borrowedSum float64
+	earliestEnd time.Time // zero: no loan runs
 }
 
 // NewSplit returns a Split that owns nothing.
@@ -137,25 +146,17 @@
 // Available is what the host may use: its own share less what it lent, and
 // what it borrowed.
 func (s *Split) Available() float64 {
-	return max(0, s.own-sum(s.lent)) + sum(s.borrowed)
+	return max(0, s.own-s.lentSum) + s.borrowedSum
 }
 
 // Lendable is the part of the host's own share that is not lent.
-func (s *Split) Lendable() float64 { return max(0, s.own-sum(s.lent)) }
+func (s *Split) Lendable() float64 { return max(0, s.own-s.lentSum) }
 
 // Next is when Available changes by itself; false when it does not.
 func (s *Split) Next() (time.Time, bool) {
-	var next time.Time
-	found := s.waiting
-	if found {
-		next = s.nextAt
-	}
-	for _, loans := range []map[LoanID]heldLoan{s.lent, s.borrowed} {
-		for _, l := range loans {
-			if !found || l.until.Before(next) {
-				next, found = l.until, true
-			}
-		}
+	next, found := s.earliestEnd, !s.earliestEnd.IsZero()
+	if s.waiting && (!found || s.nextAt.Before(next)) {
+		next, found = s.nextAt, true
 	}
 	return next, found
 }
@@ -166,13 +167,30 @@
 	if s.waiting && !now.Before(s.nextAt) {
 		s.own, s.waiting = s.next, false
 	}
+	if s.earliestEnd.IsZero() || now.Before(s.earliestEnd) {
+		return
+	}
 	drop(s.lent, now)
 	drop(s.borrowed, now)
-	for round, a := range s.asks {
-		if !now.Before(a.until) {
-			delete(s.asks, round)
+	s.changed()
+}
+
+// changed brings the sums in step after a change of lent or borrowed.
+func (s *Split) changed() {
+	s.earliestEnd = time.Time{}
+	s.lentSum = s.sum(s.lent)
+	s.borrowedSum = s.sum(s.borrowed)
+}
+
+func (s *Split) sum(loans map[LoanID]heldLoan) float64 {
+	total := 0.
+	for _, l := range loans {
+		total += l.amount
+		if s.earliestEnd.IsZero() || l.until.Before(s.earliestEnd) {
+			s.earliestEnd = l.until
 		}
 	}
+	return total
 }
 
 // Ask returns a message that asks a peer for a loan.
@@ -196,8 +214,13 @@
 	if s.cfg.MaxTerm > 0 {
 		term = min(term, s.cfg.MaxTerm)
 	}
+	for round, a := range s.asks {
+		if now.After(a.answerBy) {
+			delete(s.asks, round)
+		}
+	}
 	s.seq++
-	s.asks[s.seq] = pendingAsk{id: id, amount: amount, until: now.Add(term)}
+	s.asks[s.seq] = pendingAsk{id: id, amount: amount, until: now.Add(term), answerBy: now.Add(min(term, answerTimeout))}
 	return Ask{ID: id, Round: s.seq, Key: s.key, Amount: amount, Term: term}
 }
 
@@ -221,6 +244,7 @@
 		running.until = until
 	}
 	s.lent[ask.ID] = running
+	s.changed()
 	return Loan{ID: ask.ID, Round: ask.Round, Key: s.key, Amount: running.amount}, true
 }
 
@@ -229,7 +253,7 @@
 func (s *Split) Accept(now time.Time, loan Loan) bool {
 	s.Advance(now)
 	a, ok := s.asks[loan.Round]
-	if !ok || a.id != loan.ID || loan.Key != s.key || !(loan.Amount > 0) || loan.Amount > a.amount {
+	if !ok || !now.Before(a.answerBy) || a.id != loan.ID || loan.Key != s.key || !(loan.Amount > 0) || loan.Amount > a.amount {
 		return false
 	}
 	delete(s.asks, loan.Round)
@@ -239,6 +263,7 @@
 		held.until = a.until
 	}
 	s.borrowed[loan.ID] = held
+	s.changed()
 	return true
 }
 
@@ -252,6 +277,7 @@
 	}
 	_, ok := s.borrowed[id]
 	delete(s.borrowed, id)
+	s.changed()
 	return ok
 }
 
@@ -259,6 +285,7 @@
 func (s *Split) Returned(now time.Time, id LoanID) {
 	s.Advance(now)
 	delete(s.lent, id)
+	s.changed()
 }
 
 // EachBorrowed calls fn for each loan that the host has. fn must not change
@@ -269,14 +296,6 @@
 	}
 }
 
-func sum(loans map[LoanID]heldLoan) float64 {
-	total := 0.
-	for _, l := range loans {
-		total += l.amount
-	}
-	return total
-}
-
 func drop(loans map[LoanID]heldLoan, now time.Time) {
 	for id, l := range loans {
 		if !now.Before(l.until) {
