--- a/internal/memory/loan.go
+++ b/internal/memory/loan.go
@@ -21,8 +21,9 @@
 	return a.split.Ask(now, float64(tokens), term), true
 }
 
-// Lend answers a peer's Ask out of the part that no reservation uses.
-func (l *Ledger) Lend(now time.Time, ask share.Ask) (share.Loan, bool) {
+// Lend answers a peer's Ask out of the part that no reservation uses, less the
+// tokens to keep.
+func (l *Ledger) Lend(now time.Time, ask share.Ask, keep int) (share.Loan, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a, ok := l.accounts[ask.Key]
@@ -31,7 +32,7 @@
 	}
 	a.split.Advance(now)
 	spare := a.headroom(now.Add(2 * ask.Term))
-	return a.split.Lend(now, ask, float64(int(spare)))
+	return a.split.Lend(now, ask, float64(int(spare)-keep))
 }
 
 // Accept takes a loan that a peer sent.
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -18,7 +18,9 @@
 
 // admit refuses a request that cannot finish in time.
 func (p *pool) admit(now time.Time, w *waiter) error {
-	if _, whole := w.route.largest(); w.need > whole {
+	var holds bool
+	if w.fit, holds = w.route.fitOf(w.need, w.shape.Class); !holds {
+		_, whole := w.route.largest()
 		return apierror.NotRun(apierror.KindPromptTooLong,
 			"shorten the prompt or lower max_tokens so that both together fit",
 			"the prompt needs %d tokens of engine memory with its output limit and the largest that fits is %d", w.need, whole)
--- a/internal/schedule/claim.go
+++ b/internal/schedule/claim.go
@@ -32,6 +32,7 @@
 type pledge struct {
 	rank   Rank
 	tokens int
+	tight  bool // the claim needs all of the engine's memory
 	until  time.Time
 }
 
@@ -46,14 +47,18 @@
 	until time.Time
 }
 
+// lenderAnswers is how long an ask may still be answered.
+const lenderAnswers = 5 * time.Second
+
 // maxLenders is the number of entries from which on old ones are dropped.
 const maxLenders = 256
 
-// withheld is the memory of a target that is kept for others than w.
-func (p *pool) withheld(now time.Time, w *waiter, target string) int {
-	kept := 0
+// withheld is the memory of a target that is kept for others than w, and
+// whether they need all of the engine's memory.
+func (p *pool) withheld(now time.Time, w *waiter, target string) (kept int, tight bool) {
 	if p.claim != nil && p.claim.waiter != w {
-		kept += p.claim.need(target)
+		kept = p.claim.need(target)
+		tight = kept > 0 && p.claim.waiter.fit.tight
 	}
 	pl, ok := p.pledges[target]
 	switch {
@@ -62,8 +67,9 @@
 		delete(p.pledges, target)
 	case p.claim == nil || p.claim.waiter != w || pl.rank.Before(p.rank(w)):
 		kept += pl.tokens
+		tight = tight || pl.tight
 	}
-	return kept
+	return kept, tight
 }
 
 func (c *claim) need(target string) int {
@@ -105,14 +111,14 @@
 // claimable picks where w should wait for memory: the engine, or the group,
 // on which most is free.
 func (p *pool) claimable(now time.Time, w *waiter) []engineapi.Part {
-	single, _ := w.route.largest()
-	if w.need > single {
+	if w.fit.parted {
 		return p.claimableGroup(now, w)
 	}
 	var best *targetState
 	most := -1
-	for _, t := range w.route.targets {
-		if t.memory < w.need || !p.enterable(now, w, t) {
+	for i, t := range w.route.targets {
+		c := w.route.candidate(i)
+		if w.need > t.memory || !p.enterable(now, w, t) || !p.cfg.Policy.Enters(w.shape, &c) {
 			continue
 		}
 		if free := p.ledger.Free(now, t.info.ID, w.until); free > most {
@@ -172,9 +178,12 @@
 	}
 	c.askedAt = now
 	for _, n := range c.needs {
-		missing := n.Tokens - p.ledger.Free(now, n.Target, c.waiter.until)
 		t, ok := p.targets[n.Target]
-		if missing <= 0 || !ok {
+		if !ok {
+			continue
+		}
+		missing := n.Tokens - p.free(now, c.waiter, t)
+		if missing <= 0 {
 			continue
 		}
 		for _, peer := range t.peersOf {
@@ -191,8 +200,8 @@
 		return
 	}
 	p.pruneLenders(now)
-	p.lenders[loanKey{target: target, id: ask.ID}] = lender{host: peer, until: now.Add(ask.Term)}
-	message := MemoryAsk{Ask: ask, Rank: p.rank(w)}
+	p.lenders[loanKey{target: target, id: ask.ID}] = lender{host: peer, until: now.Add(lenderAnswers)}
+	message := MemoryAsk{Ask: ask, Rank: p.rank(w), Tight: w.fit.tight}
 	p.after = append(p.after, func() { p.cfg.SendAsk(peer, message) })
 }
 
@@ -222,9 +231,13 @@
 	if ok && !now.After(pl.until) && pl.rank.Before(ask.Rank) {
 		return share.Loan{}, false
 	}
-	loan, lent := p.ledger.Lend(now, ask.Ask)
+	kept := 0
+	if t, known := p.targets[ask.Key]; known && !ask.Tight {
+		kept = t.keptForShort()
+	}
+	loan, lent := p.ledger.Lend(now, ask.Ask, kept)
 	if missing := int(ask.Amount - loan.Amount); missing > 0 {
-		p.pledges[ask.Key] = pledge{rank: ask.Rank, tokens: missing, until: now.Add(pledgeTime)}
+		p.pledges[ask.Key] = pledge{rank: ask.Rank, tokens: missing, tight: ask.Tight, until: now.Add(pledgeTime)}
 	}
 	return loan, lent
 }
@@ -245,6 +258,10 @@
 		return
 	}
 	p.stats.Borrowed++
+	if asked, ok := p.lenders[key]; ok && p.claim != nil {
+		asked.until = p.claim.waiter.until
+		p.lenders[key] = asked
+	}
 	if p.claim == nil || p.claim.need(loan.Key) == 0 {
 		p.returnLoans(now, []engineapi.Part{{Target: loan.Key}})
 		return
--- a/internal/schedule/grant.go
+++ b/internal/schedule/grant.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainrun/plantainrun/coord/outcome"
 	"github.com/plantainrun/plantainrun/internal/engineapi"
+	"github.com/plantainrun/plantainrun/internal/rules"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
 
@@ -103,6 +104,9 @@
 	if w.req.Alone {
 		t.suspects += count
 	}
+	if w.shape.Class == rules.ClassShort {
+		t.shortUsed += count * w.need
+	}
 }
 
 // began accounts for the work of a request at its target.
--- a/internal/schedule/policy.go
+++ b/internal/schedule/policy.go
@@ -45,6 +45,9 @@
 	// Priority is the request's priority at the engine; lower runs first. Values of all
 	// hosts must be comparable.
 	Priority(req *Request, shape Shape) int64
+	// Enters reports whether requests of the shape may use the candidate's target at
+	// all, now or later.
+	Enters(shape Shape, c *Candidate) bool
 	// Choose returns the index of the candidate on which the request should start
 	// now, or -1 to keep it queued. All candidates have the memory.
 	Choose(now time.Time, req *Request, shape Shape, candidates []Candidate) int
@@ -112,7 +115,10 @@
 	best := -1
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Ahead > window || (shape.Class == rules.ClassLong && !p.openToLong(c)) {
+		if c.Ahead > window || !p.Enters(shape, c) {
+			continue
+		}
+		if shape.Class == rules.ClassLong && c.LongPrefills >= p.LongPerTarget {
 			continue
 		}
 		if best < 0 || sooner(c, &candidates[best]) {
@@ -122,12 +128,13 @@
 	return best
 }
 
-func (p *SlackPolicy) openToLong(c *Candidate) bool {
-	if c.LongPrefills >= p.LongPerTarget {
-		return false
+// Enters keeps long prompts out of the first targets of a route.
+func (p *SlackPolicy) Enters(shape Shape, c *Candidate) bool {
+	if shape.Class != rules.ClassLong || c.Grouped {
+		return true
 	}
 	closed := int(p.ClosedToLong*float64(c.Count) + 0.5)
-	return c.Grouped || c.Position >= min(closed, c.Count-1)
+	return c.Position >= min(closed, c.Count-1)
 }
 
 // sooner prefers the earlier first token, then the smaller backlog, then the
--- a/internal/schedule/policybench/policies.go
+++ b/internal/schedule/policybench/policies.go
@@ -36,6 +36,8 @@
 
 func (arrivalOrder) Priority(*schedule.Request, schedule.Shape) int64 { return 0 }
 
+func (arrivalOrder) Enters(schedule.Shape, *schedule.Candidate) bool { return true }
+
 type random struct {
 	arrivalOrder
 	rng *rand.Rand
@@ -56,9 +58,11 @@
 }
 
 func (p *leastOf) Choose(_ time.Time, _ *schedule.Request, _ schedule.Shape, cs []schedule.Candidate) int {
-	return smallest(cs, p.key, func(*schedule.Candidate) bool { return true })
+	return smallest(cs, p.key, everyOne)
 }
 
+func everyOne(*schedule.Candidate) bool { return true }
+
 func smallest(cs []schedule.Candidate, key func(*schedule.Candidate) float64, allowed func(*schedule.Candidate) bool) int {
 	best := -1
 	for i := range cs {
@@ -79,42 +83,45 @@
 	splitMedium = 0.45
 )
 
-func (*fixedSplit) Choose(_ time.Time, _ *schedule.Request, shape schedule.Shape, cs []schedule.Candidate) int {
-	return smallest(cs, backlogOf, func(c *schedule.Candidate) bool {
-		if c.Grouped {
-			return true
-		}
-		at := float64(c.Position) / float64(c.Count)
-		switch shape.Class {
-		case rules.ClassShort:
-			return at < splitShort
-		case rules.ClassMedium:
-			return at >= splitShort && at < splitShort+splitMedium
-		default:
-			return at >= splitShort+splitMedium
-		}
-	})
+func (*fixedSplit) Enters(shape schedule.Shape, c *schedule.Candidate) bool {
+	if c.Grouped {
+		return true
+	}
+	at := float64(c.Position) / float64(c.Count)
+	switch shape.Class {
+	case rules.ClassShort:
+		return at < splitShort
+	case rules.ClassMedium:
+		return at >= splitShort && at < splitShort+splitMedium
+	default:
+		return at >= splitShort+splitMedium
+	}
+}
+
+func (p *fixedSplit) Choose(_ time.Time, _ *schedule.Request, shape schedule.Shape, cs []schedule.Candidate) int {
+	return smallest(cs, backlogOf, func(c *schedule.Candidate) bool { return p.Enters(shape, c) })
 }
 
 // elasticSplit keeps long prompts out of some engines and lets all others go anywhere.
 type elasticSplit struct{ arrivalOrder }
 
-func (*elasticSplit) Choose(_ time.Time, _ *schedule.Request, shape schedule.Shape, cs []schedule.Candidate) int {
-	return smallest(cs, backlogOf, func(c *schedule.Candidate) bool {
-		return c.Grouped || shape.Class != rules.ClassLong || float64(c.Position)/float64(c.Count) >= splitShort+splitMedium
-	})
+func (*elasticSplit) Enters(shape schedule.Shape, c *schedule.Candidate) bool {
+	return c.Grouped || shape.Class != rules.ClassLong || float64(c.Position)/float64(c.Count) >= splitShort
+}
+
+func (p *elasticSplit) Choose(_ time.Time, _ *schedule.Request, shape schedule.Shape, cs []schedule.Candidate) int {
+	return smallest(cs, backlogOf, func(c *schedule.Candidate) bool { return p.Enters(shape, c) })
 }
 
 // slack runs the request with the earliest latest start first.
-type slack struct{}
+type slack struct{ arrivalOrder }
 
 func (*slack) Priority(req *schedule.Request, shape schedule.Shape) int64 {
 	return req.Deadline.Add(-shape.Prefill - shape.Decode).UnixMilli()
 }
 
 func (*slack) Choose(_ time.Time, _ *schedule.Request, _ schedule.Shape, cs []schedule.Candidate) int {
-	return smallest(cs, func(c *schedule.Candidate) float64 { return c.FirstToken.Seconds() },
-		func(*schedule.Candidate) bool { return true })
+	return smallest(cs, func(c *schedule.Candidate) float64 { return c.FirstToken.Seconds() }, everyOne)
 }
 
 // localShares gives each organisation that is present its own share of each
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -52,6 +52,7 @@
 	shape     Shape
 	priority  int64
 	need      int // tokens of memory
+	fit       fit
 	until     time.Time
 	offered   time.Time
 	predicted time.Duration // until the first token, as first predicted
@@ -234,18 +235,17 @@
 // time. It reports whether any target lacked only the memory.
 func (p *pool) gather(now time.Time, w *waiter) (lacking bool) {
 	p.candidates, p.places = p.candidates[:0], p.places[:0]
-	single, _ := w.route.largest()
-	if w.need > single {
+	if w.fit.parted {
 		return p.gatherGroups(now, w)
 	}
 	for i, t := range w.route.targets {
 		if !p.enterable(now, w, t) {
 			continue
 		}
-		c := Candidate{Target: t.info.ID, Position: w.route.positions[i], Count: w.route.count}
+		c := w.route.candidate(i)
 		c.Free = p.free(now, w, t)
 		if c.Free < w.need {
-			lacking = lacking || t.memory >= w.need
+			lacking = lacking || (w.need <= t.memory && p.cfg.Policy.Enters(w.shape, &c))
 			continue
 		}
 		t.estimate(now, &c, p.prefillLeft(w, t), w.priority, w.shape.Class)
@@ -310,11 +310,22 @@
 	return !now.Add(firstToken + w.shape.Decode).After(w.req.Deadline)
 }
 
-// free is how much of the target's memory w may take; what a claim or a
-// pledge waits for is not free to others.
+// free is how much of the target's memory w may take. What a claim or a pledge
+// waits for is not free to others, and a part is kept for short prompts.
 func (p *pool) free(now time.Time, w *waiter, t *targetState) int {
 	free := p.ledger.Free(now, t.info.ID, w.until)
-	return free - p.withheld(now, w, t.info.ID)
+	withheld, tight := p.withheld(now, w, t.info.ID)
+	kept := t.keptForShort()
+	switch {
+	case w.shape.Class == rules.ClassShort && tight:
+		return free - withheld
+	case w.shape.Class == rules.ClassShort:
+		return min(free, max(kept, free-withheld))
+	case w.fit.tight:
+		return free - withheld
+	default:
+		return free - withheld - kept
+	}
 }
 
 // split spreads w over as few members of the group as possible, in
--- a/internal/schedule/route.go
+++ b/internal/schedule/route.go
@@ -54,6 +54,37 @@
 	return single, whole
 }
 
+// fit is how a request can be held.
+type fit struct {
+	parted bool // in parts by a group
+	tight  bool // only with the memory that is otherwise kept for short prompts
+}
+
+// fitOf chooses how to hold a request of need tokens. It reports false when
+// nothing can.
+func (r *route) fitOf(need int, class rules.Class) (fit, bool) {
+	single, whole := r.largest()
+	usual := 1 - shortPart
+	if class == rules.ClassShort {
+		usual = 1
+	}
+	switch {
+	case need <= int(usual*float64(single)):
+		return fit{}, true
+	case need <= int(usual*float64(whole)):
+		return fit{parted: true}, true
+	case need <= single:
+		return fit{tight: true}, true
+	default:
+		return fit{parted: true, tight: true}, need <= whole
+	}
+}
+
+// candidate returns what is fixed of target i as a candidate.
+func (r *route) candidate(i int) Candidate {
+	return Candidate{Target: r.targets[i].info.ID, Position: r.positions[i], Count: r.count}
+}
+
 // add adds a target that this host deals with.
 func (r *route) add(t *targetState, position int) {
 	r.targets = append(r.targets, t)
--- a/internal/schedule/target.go
+++ b/internal/schedule/target.go
@@ -44,6 +44,18 @@
 	running  int // this host's grants
 	suspects int // this host's grants that asked to be alone
 	peers    int // requests of others, by the newest report
+
+	shortUsed int // tokens that this host's short prompts hold
+}
+
+// shortPart is the part of each engine's memory that only short prompts use.
+const shortPart = 0.1
+
+// keptForShort is what is free of this host's part of the memory that only
+// short prompts use.
+func (t *targetState) keptForShort() int {
+	part := int(shortPart * float64(t.memory) / float64(max(t.sharers, 1)))
+	return max(0, part-t.shortUsed)
 }
 
 // usable reports whether new work may go to the target at now. newest is the
