--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/plantainrun/plantainrun/coord/clock"
 	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/coord/suspect"
 	"github.com/plantainrun/plantainrun/internal/apierror"
 	"github.com/plantainrun/plantainrun/internal/engineapi"
 	"github.com/plantainrun/plantainrun/internal/rules"
@@ -49,14 +50,32 @@
 	Prepare(req Request) (Call, error)
 }
 
-// Suspects keeps the books on prompts that crash targets.
+// Suspects keeps account of prompts that crash targets.
 type Suspects interface {
-	// Admit refuses a quarantined fingerprint. alone asks for a target without
-	// other suspects.
-	Admit(fingerprint uint64) (alone bool, err error)
-	// Started and Ended bracket one attempt.
-	Started(fingerprint uint64, target string)
-	Ended(fingerprint uint64, target string, died bool, result outcome.Outcome)
+	// Acquire waits until the prompt may run, or refuses it with an
+	// *apierror.Error.
+	Acquire(ctx context.Context, fingerprint suspect.Fingerprint) (SuspectRun, error)
+	// Died records that a target died under a run.
+	Died(target string)
+}
+
+// SuspectRun is one prompt's account.
+type SuspectRun interface {
+	// Alone asks for a target on which no other suspect runs.
+	Alone() bool
+	// Avoid lists targets on which the prompt must not run.
+	Avoid() []string
+	// On records where the prompt is about to run. On an error nothing may be sent there.
+	On(target string) error
+	// End closes the account.
+	End(succeeded bool)
+}
+
+// Arbiter runs the suspects of the failure domain.
+type Arbiter interface {
+	// Run runs a suspect at the host that sees all of them. It reports false
+	// when that is this host, or when it cannot be reached.
+	Run(ctx context.Context, req Request, sink Sink) (Result, bool, error)
 }
 
 // Limiter holds back organisations that are over their limit.
@@ -99,6 +118,7 @@
 	Limiter   Limiter
 	Retries   RetryBudget
 	Overflow  Overflow // nil: none
+	Arbiter   Arbiter  // nil: none
 	Observer  Observer
 	Clock     clock.Clock
 }
@@ -106,28 +126,30 @@
 // run is the state of one prompt.
 type run struct {
 	*Local
-	req         Request
-	sink        Sink
-	call        Call
-	fingerprint uint64
-	tokens      int
-	exclude     []string
+	req     Request
+	sink    Sink
+	call    Call
+	account SuspectRun
+	tokens  int
+	exclude []string
 }
 
 // Run runs req and passes its tokens to sink. The error is an *apierror.Error.
 func (l *Local) Run(ctx context.Context, req Request, sink Sink) (Result, error) {
 	r := &run{Local: l, req: req, sink: sink}
 	r.tokens = l.Estimator.PromptTokens(req.Model, len(req.Prompt))
-	r.fingerprint = Fingerprint(req)
-	if err := l.admit(r); err != nil {
-		return Result{}, err
+	if !req.Forwarded {
+		if err := l.Limiter.Take(req.Organisation, r.tokens+req.MaxTokens); err != nil {
+			return Result{}, err
+		}
 	}
-	call, err := l.Engines.Prepare(req)
+	account, err := l.Suspects.Acquire(ctx, Fingerprint(req))
 	if err != nil {
-		return Result{}, err
+		return Result{}, r.orDeadline(ctx, err)
 	}
-	r.call = call
-	result, err := r.attempts(ctx)
+	r.account = account
+	result, err := r.judged(ctx)
+	account.End(err == nil)
 	if err != nil {
 		return Result{}, err
 	}
@@ -135,14 +157,19 @@
 	return result, nil
 }
 
-func (l *Local) admit(r *run) error {
-	if _, err := l.Suspects.Admit(r.fingerprint); err != nil {
-		return err
+// judged runs a suspect at the arbiter and any other prompt here.
+func (r *run) judged(ctx context.Context) (Result, error) {
+	if r.account.Alone() && r.Arbiter != nil && !r.req.Forwarded {
+		if result, taken, err := r.Arbiter.Run(ctx, r.req, r.sink); taken {
+			return result, err
+		}
 	}
-	if r.req.Forwarded {
-		return nil
+	call, err := r.Engines.Prepare(r.req)
+	if err != nil {
+		return Result{}, err
 	}
-	return l.Limiter.Take(r.req.Organisation, r.tokens+r.req.MaxTokens)
+	r.call = call
+	return r.attempts(ctx)
 }
 
 // attempts tries targets until one answers in full or the prompt is given up.
@@ -154,8 +181,17 @@
 			return r.elsewhere(ctx, err)
 		}
 		target := grant.Target().ID
-		r.countTry(target, first)
-		first = false
+		if err := r.account.On(target); err != nil {
+			grant.Release(r.Clock.Now(), outcome.NotRun)
+			if err := r.mayAvoid(target, err); err != nil {
+				return Result{}, err
+			}
+			continue
+		}
+		if first {
+			r.Retries.First(target)
+			first = false
+		}
 		attempt, err := r.attempt(ctx, grant)
 		if err == nil {
 			return Result{Reason: attempt.Reason, Usage: attempt.Usage}, nil
@@ -167,28 +203,28 @@
 	}
 }
 
-func (r *run) countTry(target string, first bool) {
-	if first {
-		r.Retries.First(target)
+// mayAvoid returns nil when another target may be tried instead of one on
+// which a suspect must not run.
+func (r *run) mayAvoid(target string, err error) error {
+	var avoid *suspect.AvoidError
+	if !errors.As(err, &avoid) {
+		return err
 	}
+	r.exclude = append(r.exclude, target)
+	return nil
 }
 
 func (r *run) acquire(ctx context.Context) (schedule.Grant, error) {
-	alone, err := r.Suspects.Admit(r.fingerprint)
-	if err != nil {
-		return nil, err
-	}
 	return r.Scheduler.Acquire(ctx, schedule.Request{
 		ID: r.req.ID, Partner: r.req.Partner, Organisation: r.req.Organisation.Name, Model: r.req.Model,
 		PromptTokens: r.tokens, MaxTokens: r.req.MaxTokens, Arrival: r.req.Arrival, Deadline: r.req.Deadline,
-		Prefixes: Prefixes(r.req.Prompt), Exclude: r.exclude, Alone: alone,
+		Prefixes: Prefixes(r.req.Prompt), Exclude: append(r.account.Avoid(), r.exclude...), Alone: r.account.Alone(),
 	})
 }
 
 // attempt runs the prompt once under grant.
 func (r *run) attempt(ctx context.Context, grant schedule.Grant) (Attempt, error) {
 	target := grant.Target()
-	r.Suspects.Started(r.fingerprint, target.ID)
 	seen := false
 	attempt, err := r.call.Attempt(ctx, grant, func(text string) error {
 		if !seen {
@@ -197,7 +233,9 @@
 		}
 		return r.sink.Token(text)
 	})
-	r.Suspects.Ended(r.fingerprint, target.ID, attempt.Died, attempt.Outcome)
+	if attempt.Died {
+		r.Suspects.Died(target.ID)
+	}
 	grant.Release(r.Clock.Now(), attempt.Outcome)
 	r.Observer.Attempt(target.ID, attempt.Outcome)
 	return attempt, err
@@ -219,6 +257,14 @@
 	return nil
 }
 
+// orDeadline turns the end of ctx into the caller's error.
+func (r *run) orDeadline(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return r.deadline(outcome.NotRun)
+	}
+	return err
+}
+
 // elsewhere tries another failure domain after the own one refused.
 func (r *run) elsewhere(ctx context.Context, refused error) (Result, error) {
 	if errors.Is(refused, context.DeadlineExceeded) || errors.Is(refused, context.Canceled) {
@@ -242,15 +288,12 @@
 }
 
 // Fingerprint is a hash of what a target would run, whoever asks for it.
-func Fingerprint(req Request) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, part := range append([]string{req.Model, req.Adapter, req.Prompt, strconv.Itoa(req.MaxTokens)}, req.Stop...) {
-		_, _ = d.WriteString(strconv.Itoa(len(part)))
-		_, _ = d.WriteString(":")
-		_, _ = d.WriteString(part)
+func Fingerprint(req Request) suspect.Fingerprint {
+	parts := [][]byte{[]byte(req.Model), []byte(req.Adapter), []byte(req.Prompt), []byte(strconv.Itoa(req.MaxTokens))}
+	for _, stop := range req.Stop {
+		parts = append(parts, []byte(stop))
 	}
-	return d.Sum64()
+	return suspect.FingerprintOf(parts...)
 }
 
 // Prefixes returns the hashes of the prompt's leading blocks, shortest first.
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -19,6 +19,7 @@
 	"github.com/onsi/gomega/gbytes"
 	"github.com/onsi/gomega/gexec"
 
+	_ "github.com/plantainrun/plantainrun/internal/cli" // a change of the binary runs these tests again
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
 
--- /dev/null
+++ b/internal/hints/suspicion.go
@@ -0,0 +1,71 @@
+package hints
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/suspect"
+	"github.com/plantainrun/plantainrun/internal/hints/hintspb"
+	"github.com/plantainrun/plantainrun/internal/mesh"
+)
+
+// announceTimeout bounds the wait for hosts that do not answer.
+const announceTimeout = time.Second
+
+// SuspicionReceiver learns what other hosts tell of requests that crash targets.
+type SuspicionReceiver interface {
+	Learn(h suspect.Hint)
+}
+
+// Announce tells all given hosts and waits until each has learned it, or is
+// not reached within a bound.
+func (h *Hints) Announce(hosts []string, hint suspect.Hint) {
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	msg := suspicionMessage(hint)
+	var wg sync.WaitGroup
+	for _, host := range hosts {
+		wg.Go(func() {
+			if err := call(ctx, h.mesh, host, methodSuspicion, msg, &hintspb.Received{}); err != nil {
+				h.failures.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (h *Hints) serveSuspicion(_ context.Context, s *mesh.Stream) error {
+	var msg hintspb.Suspicion
+	if err := s.Recv(&msg); err != nil {
+		return err
+	}
+	h.suspects.Learn(suspicionOf(&msg))
+	return s.Send(&hintspb.Received{})
+}
+
+func suspicionMessage(hint suspect.Hint) *hintspb.Suspicion {
+	msg := &hintspb.Suspicion{
+		Kind: uint32(hint.Kind), Target: hint.Death.Target, Incarnation: hint.Death.Incarnation,
+		LeftMs: hint.Left.Milliseconds(), Fingerprint: hint.Fingerprint[:],
+	}
+	for _, c := range hint.Charged {
+		msg.Charged = append(msg.Charged, &hintspb.Charge{Fingerprint: c.Fingerprint[:], Alone: c.Alone})
+	}
+	return msg
+}
+
+func suspicionOf(msg *hintspb.Suspicion) suspect.Hint {
+	hint := suspect.Hint{
+		Kind:  suspect.HintKind(msg.GetKind()), //nolint:gosec // an unknown kind is ignored
+		Death: suspect.Death{Target: msg.GetTarget(), Incarnation: msg.GetIncarnation()},
+		Left:  time.Duration(msg.GetLeftMs()) * time.Millisecond,
+	}
+	copy(hint.Fingerprint[:], msg.GetFingerprint())
+	for _, c := range msg.GetCharged() {
+		charge := suspect.Charge{Alone: c.GetAlone()}
+		copy(charge.Fingerprint[:], c.GetFingerprint())
+		hint.Charged = append(hint.Charged, charge)
+	}
+	return hint
+}
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -42,7 +42,7 @@
 
 // place is where a candidate would run.
 type place struct {
-	target *targetState // the engine that computes the prompt and the answer
+	target *targetState     // the engine that computes the prompt and the answer
 	parts  []engineapi.Part // memory to reserve; nil: all of it at the target
 }
 
--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -8,45 +8,70 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainrun/plantainrun/coord/clock"
 	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/coord/membership"
 	"github.com/plantainrun/plantainrun/internal/apierror"
 	"github.com/plantainrun/plantainrun/internal/config"
 	"github.com/plantainrun/plantainrun/internal/knowledge"
+	"github.com/plantainrun/plantainrun/internal/schedule"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
 
 const (
-	// leavingMemory is how long a target that said that it leaves is avoided
-	// although the list still names it.
-	leavingMemory   = 5 * time.Minute
-	noTargetRetry   = time.Second
-	maxHostsInReply = 8
+	noTargetRetry = time.Second
+	// elsewhereWait is the longest predicted wait at which another failure domain is tried.
+	elsewhereWait = 30 * time.Second
+	// goneMemory is how long it is remembered since when a process is gone.
+	goneMemory = time.Hour
 )
 
-// fleet answers questions on hosts and targets from the published lists and
-// from what this host saw itself. It is safe for concurrent use.
+// fleet answers questions on hosts and targets: the published lists joined
+// with what hosts saw. It is safe for concurrent use.
 type fleet struct {
 	host     config.Host
+	clk      clock.Clock
+	table    *membership.Table
+	publish  func([]membership.Event) // to peers
+	loads    func() []schedule.DomainLoad
 	snapshot atomic.Pointer[knowledge.Snapshot]
 
-	mu      sync.Mutex
-	leaving map[string]time.Time // until when, by target id
+	mu   sync.Mutex
+	gone map[identity.Incarnation]time.Time // since when an owner is known to be gone
 }
 
-func newFleet(host config.Host) *fleet {
-	f := &fleet{host: host, leaving: make(map[string]time.Time)}
+func newFleet(host config.Host, clk clock.Clock) *fleet {
+	f := &fleet{
+		host: host, clk: clk, table: membership.New(clk, membership.Bounds{}),
+		publish: func([]membership.Event) {},
+		loads:   func() []schedule.DomainLoad { return nil },
+		gone:    make(map[identity.Incarnation]time.Time),
+	}
 	f.snapshot.Store(&knowledge.Snapshot{})
 	return f
 }
 
-func (f *fleet) set(snap knowledge.Snapshot) { f.snapshot.Store(&snap) }
+// set takes the lists in force.
+func (f *fleet) set(snap knowledge.Snapshot) {
+	f.snapshot.Store(&snap)
+	hosts := make([]membership.Entry, 0, len(snap.Hosts.Hosts))
+	for _, h := range snap.Hosts.Hosts {
+		hosts = append(hosts, membership.Entry{ID: h.ID, Domain: h.Domain, Leaving: h.State == topology.StateLeaving})
+	}
+	targets := make([]membership.Entry, 0, len(snap.Targets.Targets))
+	for _, t := range snap.Targets.Targets {
+		targets = append(targets, membership.Entry{ID: t.ID, Domain: t.Domain, Leaving: t.State == topology.StateLeaving})
+	}
+	f.publish(f.table.SetHosts(snap.HostsRevision, hosts))
+	f.publish(f.table.SetTargets(snap.TargetsRevision, targets))
+}
 
 // Pick returns a target of a plain service: of the own failure domain if there
 // is one, and any other otherwise.
 func (f *fleet) Pick(_ context.Context, service string, exclude []string) (topology.Target, error) {
 	var near, far []topology.Target
 	for _, t := range f.snapshot.Load().Targets.Targets {
-		if t.Kind != topology.KindService || t.Model != service || t.State != topology.StateLive || slices.Contains(exclude, t.ID) || f.isLeaving(t.ID) {
+		if t.Kind != topology.KindService || t.Model != service || slices.Contains(exclude, t.ID) || f.table.TargetState(t.ID) != membership.Live {
 			continue
 		}
 		if t.Domain == f.host.Domain {
@@ -64,18 +89,9 @@
 	return near[rand.IntN(len(near))], nil
 }
 
-// Leaving records that a target said that it is leaving.
+// Leaving records that a target said that it is leaving, and passes it on.
 func (f *fleet) Leaving(target topology.Target) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.leaving[target.ID] = time.Now().Add(leavingMemory)
-}
-
-func (f *fleet) isLeaving(id string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	until, ok := f.leaving[id]
-	return ok && time.Now().Before(until)
+	f.publish(f.table.RefuseTarget(target.ID))
 }
 
 // LedgerHolders lists the live hosts of the partner, without this one.
@@ -83,15 +99,86 @@
 	return f.hosts(func(h topology.Host) bool { return h.Partner == f.host.Partner && h.ID != f.host.ID })
 }
 
-// Elsewhere returns hosts of other failure domains, in random order.
-func (f *fleet) Elsewhere(_ string, _, count int) []string {
-	all := f.hosts(func(h topology.Host) bool { return h.Domain != f.host.Domain })
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(count, len(all), maxHostsInReply)]
+// Elsewhere returns hosts of the failure domain that would serve the model
+// first, by the hints on their load, and of any other without a hint.
+func (f *fleet) Elsewhere(model string, _, count int) []string {
+	var chosen, tried []string
+	for len(chosen) < count {
+		domain, ok := schedule.PickDomain(f.clk.Now(), f.loads(), model, tried, elsewhereWait)
+		if !ok {
+			break
+		}
+		tried = append(tried, domain)
+		if live := f.table.LiveHosts(domain); domain != f.host.Domain && len(live) > 0 {
+			chosen = append(chosen, live[rand.IntN(len(live))])
+		}
+	}
+	return chosen
 }
 
 // IncarnationGone reports whether a process is known to have ended.
-func (f *fleet) IncarnationGone(identity.Incarnation) bool { return false }
+func (f *fleet) IncarnationGone(inc identity.Incarnation) bool { return f.table.IncarnationGone(inc) }
+
+// GoneSince returns since when a process is known to have ended.
+func (f *fleet) GoneSince(inc identity.Incarnation) (time.Time, bool) {
+	gone := f.table.IncarnationGone(inc)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !gone {
+		delete(f.gone, inc)
+		return time.Time{}, false
+	}
+	since, known := f.gone[inc]
+	if !known {
+		since = f.clk.Now()
+		f.forgetLocked(since)
+		f.gone[inc] = since
+	}
+	return since, true
+}
+
+// forgetLocked drops the processes that ended long ago. The caller holds mu.
+func (f *fleet) forgetLocked(now time.Time) {
+	for inc, since := range f.gone {
+		if now.Sub(since) > goneMemory {
+			delete(f.gone, inc)
+		}
+	}
+}
+
+// alive reports whether nobody knows that a host of the list is down or leaving.
+func (f *fleet) alive(host string) bool {
+	state := f.table.HostState(host)
+	return state == membership.Live || state == membership.Unknown
+}
+
+// LiveHosts lists the live hosts of a failure domain.
+func (f *fleet) LiveHosts(domain string) []string { return f.table.LiveHosts(domain) }
+
+// Engines lists the engines of a failure domain, leaving ones included.
+func (f *fleet) Engines(domain string) []topology.Target {
+	var out []topology.Target
+	for _, t := range f.snapshot.Load().Targets.Targets {
+		if t.Kind == topology.KindEngine && t.Domain == domain {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// neighbours lists the other live hosts of the failure domain.
+func (f *fleet) neighbours() []string {
+	return slices.DeleteFunc(slices.Clone(f.table.LiveHosts(f.host.Domain)), func(id string) bool { return id == f.host.ID })
+}
+
+// abroad returns a random live host of another failure domain.
+func (f *fleet) abroad() (string, bool) {
+	others := f.hosts(func(h topology.Host) bool { return h.Domain != f.host.Domain })
+	if len(others) == 0 {
+		return "", false
+	}
+	return others[rand.IntN(len(others))], true
+}
 
 func (f *fleet) liveHosts() []string { return f.hosts(func(topology.Host) bool { return true }) }
 
@@ -100,7 +187,7 @@
 	for _, h := range f.snapshot.Load().Hosts.Hosts {
 		switch {
 		case h.Domain != f.host.Domain:
-		case h.State == topology.StateLive:
+		case f.table.HostState(h.ID) != membership.Leaving && f.table.HostState(h.ID) != membership.Gone:
 			live = append(live, h.ID)
 		default:
 			left = append(left, h.ID)
@@ -112,20 +199,9 @@
 func (f *fleet) hosts(want func(topology.Host) bool) []string {
 	var ids []string
 	for _, h := range f.snapshot.Load().Hosts.Hosts {
-		if h.State == topology.StateLive && want(h) {
+		if f.table.HostState(h.ID) == membership.Live && want(h) {
 			ids = append(ids, h.ID)
 		}
 	}
 	return ids
 }
-
-// engines returns the engines of the failure domain.
-func (f *fleet) engines() []topology.Target {
-	var out []topology.Target
-	for _, t := range f.snapshot.Load().Targets.Targets {
-		if t.Kind == topology.KindEngine && t.Domain == f.host.Domain {
-			out = append(out, t)
-		}
-	}
-	return out
-}
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -1,6 +1,9 @@
 package server
 
 import (
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,7 +14,11 @@
 	"github.com/plantainrun/plantainrun/internal/rules"
 )
 
-const limitRetry = 2 * time.Second
+const (
+	limitRetry   = 2 * time.Second
+	loanTerm     = 2 * time.Second
+	lendersAsked = 8 // hosts asked at once
+)
 
 // limits holds this host's share of the organisations' token limits. It is
 // safe for concurrent use and implements completion.Limiter.
@@ -51,9 +58,7 @@
 
 // Take takes tokens of the organisation's limit or refuses with when to come back.
 func (l *limits) Take(org rules.Organisation, tokens int) error {
-	l.mu.RLock()
-	limiter := l.limiters[org.Name]
-	l.mu.RUnlock()
+	limiter := l.limiter(org.Name)
 	if limiter == nil {
 		return nil
 	}
@@ -67,3 +72,52 @@
 	return apierror.NotRun(apierror.KindLimitExceeded, "come back later, or ask your partner for a higher limit",
 		"the limit of %s of %.0f tokens a second is used up here", org.Name, org.TokensPerSecond).After(wait)
 }
+
+// borrow asks hosts for loans of the shares that run short here, and renews
+// those that end soon.
+func (l *limits) borrow(hosts []string, ask func(host string, a share.Ask)) {
+	others := slices.DeleteFunc(slices.Clone(hosts), func(id string) bool { return id == l.self.Host })
+	if len(others) == 0 {
+		return
+	}
+	now := l.clk.Now()
+	for _, limiter := range l.all() {
+		wants := limiter.Wants(now)
+		if wants <= 0 {
+			continue
+		}
+		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		asked := others[:min(len(others), lendersAsked)]
+		for _, host := range asked {
+			ask(host, limiter.Ask(now, wants/float64(len(asked)), loanTerm))
+		}
+	}
+}
+
+func (l *limits) all() []*share.Limiter {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return slices.Collect(maps.Values(l.limiters))
+}
+
+func (l *limits) limiter(organisation string) *share.Limiter {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.limiters[organisation]
+}
+
+// lend answers a peer's ask.
+func (l *limits) lend(ask share.Ask) (share.Loan, bool) {
+	limiter := l.limiter(ask.Key)
+	if limiter == nil {
+		return share.Loan{}, false
+	}
+	return limiter.Lend(l.clk.Now(), ask)
+}
+
+// accept takes a loan.
+func (l *limits) accept(loan share.Loan) {
+	if limiter := l.limiter(loan.Key); limiter != nil {
+		limiter.Accept(l.clk.Now(), loan)
+	}
+}
--- /dev/null
+++ b/internal/server/members.go
@@ -0,0 +1,162 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/coord/membership"
+	"github.com/plantainrun/plantainrun/coord/pause"
+	"github.com/plantainrun/plantainrun/coord/share"
+	"github.com/plantainrun/plantainrun/coord/suspect"
+	"github.com/plantainrun/plantainrun/internal/gossip"
+	"github.com/plantainrun/plantainrun/internal/hints"
+	"github.com/plantainrun/plantainrun/internal/orders"
+	"github.com/plantainrun/plantainrun/internal/platform"
+	"github.com/plantainrun/plantainrun/internal/schedule"
+	"github.com/plantainrun/plantainrun/internal/sweep"
+)
+
+const (
+	syncInterval   = 250 * time.Millisecond // between two looks at the targets' states
+	tellInterval   = time.Second            // between two hints on the own domain's load
+	borrowInterval = 500 * time.Millisecond // between two looks at the limits
+	gossipTimeout  = 2 * time.Second
+	confirmedFor   = time.Minute // how long a plan counts as confirmed
+)
+
+// buildMembers makes membership, hints, and what acts on targets between requests.
+func (s *Server) buildMembers() error {
+	s.pauses = pause.New(s.clk, pause.DefaultThreshold)
+	s.gossip = gossip.New(gossip.Config{
+		Self: s.self, Started: s.clk.Now(), Table: s.fleet.table,
+		Transport: gossip.NewTransport(s.mesh, gossipTimeout), Logger: s.log,
+	})
+	s.fleet.publish = s.gossip.Publish
+	s.hints = hints.New(s.mesh, s, s.tracker, s.fleet.neighbours)
+	s.orders = orders.New(orders.Config{
+		Host: s.self.Host, Engines: s.engines, Members: s.fleet.table, Known: s.known, Pauses: s.pauses,
+	})
+	s.sweeper = sweep.New(sweep.Options{Host: s.self.Host, Domain: s.settings.Host.Domain, Clock: s.clk}, s.engines, s.fleet)
+	return nil
+}
+
+// runMembers runs what buildMembers made until ctx ends.
+func (s *Server) runMembers(ctx context.Context) {
+	s.run(func() { s.gossip.Run(ctx) })
+	s.run(func() { s.hints.Run(ctx) })
+	s.run(func() { s.orders.Run(ctx) })
+	s.run(func() { s.sweeper.Run(ctx) })
+	s.run(func() { s.pauses.Run(ctx, pause.DefaultInterval, s.paused) })
+	s.run(func() { every(ctx, syncInterval, s.syncTargets) })
+	s.run(func() { every(ctx, tellInterval, s.tellLoads) })
+	s.run(func() { every(ctx, borrowInterval, s.borrow) })
+}
+
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
+// paused acts on a pause of this process: connections may have been given up
+// by their other ends.
+func (s *Server) paused(length time.Duration) {
+	s.log.Warn("the process was paused", zap.Duration("length", length))
+	s.mesh.Refresh()
+}
+
+// known is what the orders to engines are made from.
+func (s *Server) known() orders.Known {
+	snap := s.knowledge.Snapshot()
+	known := orders.Known{
+		Targets: snap.Targets.Targets, TargetsRevision: snap.TargetsRevision,
+		Plan: snap.Plan, PlanRevision: snap.PlanRevision,
+	}
+	for _, age := range s.knowledge.Ages() {
+		if age.Key == platform.KeyPlan && age.Confirmed >= 0 && age.Confirmed < confirmedFor {
+			known.PlanConfirmed = s.clk.Now().Add(-age.Confirmed)
+		}
+	}
+	return known
+}
+
+// syncTargets tells the scheduler which targets leave, whichever host saw it,
+// and which hosts share the failure domain.
+func (s *Server) syncTargets() {
+	for _, t := range s.fleet.Engines(s.settings.Host.Domain) {
+		if s.fleet.table.TargetState(t.ID) == membership.Leaving {
+			s.scheduler.TargetLeaving(t.ID, "")
+		}
+	}
+	s.scheduler.SetHosts(s.fleet.domainHosts())
+}
+
+// tellLoads tells a host of another failure domain how long requests wait here.
+func (s *Server) tellLoads() {
+	if host, ok := s.fleet.abroad(); ok {
+		s.hints.TellLoads(host, s.scheduler.OwnLoads(s.clk.Now()))
+	}
+	for _, host := range s.fleet.neighbours() {
+		s.hints.TellLoads(host, s.scheduler.DomainLoads())
+	}
+}
+
+// borrow asks peers for shares of limits that run short here.
+func (s *Server) borrow() {
+	s.limits.borrow(s.fleet.liveHosts(), s.hints.AskLimit)
+}
+
+// announce tells the hosts of the failure domain of a suspicion.
+func (s *Server) announce(hint suspect.Hint) {
+	s.hints.Announce(s.fleet.neighbours(), hint)
+}
+
+// reported implements targetObserver.
+func (s *Server) reported(target, incarnation string, at time.Time, leaving bool) {
+	s.gossip.Publish(s.fleet.table.ObserveTarget(target, incarnation, at, leaving))
+}
+
+// died implements targetObserver.
+func (s *Server) died(target, incarnation string) {
+	s.tracker.TargetDied(target, incarnation)
+}
+
+// LearnDispatch implements hints.Receiver.
+func (s *Server) LearnDispatch(hint schedule.PeerDispatch) {
+	s.scheduler.LearnPeerDispatch(s.clk.Now(), hint)
+}
+
+// LearnDomainLoad implements hints.Receiver.
+func (s *Server) LearnDomainLoad(load schedule.DomainLoad) {
+	if load.Domain != s.settings.Host.Domain {
+		s.scheduler.LearnDomainLoad(load)
+	}
+}
+
+// LendMemory implements hints.Receiver.
+func (s *Server) LendMemory(ask schedule.MemoryAsk) (share.Loan, bool) {
+	return s.scheduler.Lend(s.clk.Now(), ask)
+}
+
+// BorrowMemory implements hints.Receiver.
+func (s *Server) BorrowMemory(loan share.Loan) { s.scheduler.Borrow(s.clk.Now(), loan) }
+
+// MemoryReturned implements hints.Receiver.
+func (s *Server) MemoryReturned(target string, id share.LoanID) {
+	s.scheduler.Returned(s.clk.Now(), target, id)
+}
+
+// LendLimit implements hints.Receiver.
+func (s *Server) LendLimit(ask share.Ask) (share.Loan, bool) { return s.limits.lend(ask) }
+
+// BorrowLimit implements hints.Receiver.
+func (s *Server) BorrowLimit(loan share.Loan) { s.limits.accept(loan) }
--- a/internal/server/poll.go
+++ b/internal/server/poll.go
@@ -20,11 +20,19 @@
 	downAfterMiss = 3 // polls without an answer
 )
 
+// targetObserver is told what a target reported of itself, and when its
+// process was seen to have ended.
+type targetObserver interface {
+	reported(target, incarnation string, at time.Time, leaving bool)
+	died(target, incarnation string)
+}
+
 // poller asks engines for their load and cache events. The rate over all
 // engines is bounded, so that it does not grow with their number.
 type poller struct {
 	client    *engine.Client
 	scheduler *schedule.Local
+	observer  targetObserver
 	clk       clock.Clock
 
 	mu      sync.Mutex
@@ -41,8 +49,18 @@
 	nextEvent   uint64
 }
 
-func newPoller(client *engine.Client, scheduler *schedule.Local, clk clock.Clock) *poller {
-	return &poller{client: client, scheduler: scheduler, clk: clk, polled: make(map[string]*polled)}
+func newPoller(client *engine.Client, scheduler *schedule.Local, observer targetObserver, clk clock.Clock) *poller {
+	return &poller{client: client, scheduler: scheduler, observer: observer, clk: clk, polled: make(map[string]*polled)}
+}
+
+// incarnation is the target's process as it was last reported.
+func (p *poller) incarnation(target string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state := p.polled[target]; state != nil {
+		return state.incarnation
+	}
+	return ""
 }
 
 func (p *poller) set(targets []topology.Target) {
@@ -97,37 +115,53 @@
 	defer cancel()
 	report, err := p.client.Load(ctx, target)
 	now := p.clk.Now()
-	p.mu.Lock()
-	state := p.polled[target.ID]
-	if state == nil {
-		p.mu.Unlock()
-		return
-	}
-	state.busy = false
 	if err != nil {
-		state.misses++
-		down := state.misses == downAfterMiss
-		p.mu.Unlock()
-		if down {
+		if p.missed(target.ID) {
 			p.scheduler.TargetDown(now, target.ID, "")
 		}
 		return
 	}
-	state.misses = 0
-	state.rounds++
-	state.incarnation = report.Incarnation
-	wantEvents := state.rounds%eventsEvery == 1
-	after := state.nextEvent
-	p.mu.Unlock()
-	p.scheduler.Report(now, target.ID, report)
-	if report.Leaving {
-		p.scheduler.TargetLeaving(target.ID, report.Incarnation)
+	before, wantEvents, after := p.heard(target.ID, report.Incarnation)
+	if before != "" && before != report.Incarnation {
+		p.observer.died(target.ID, before)
 	}
+	p.observer.reported(target.ID, report.Incarnation, time.UnixMilli(report.ObservedMS), report.Leaving)
+	p.scheduler.Report(now, target.ID, report)
 	if wantEvents {
 		p.events(ctx, target, after)
 	}
 }
 
+// missed counts a poll without an answer and reports whether the target is to
+// be taken for down now.
+func (p *poller) missed(target string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.polled[target]
+	if state == nil {
+		return false
+	}
+	state.busy = false
+	state.misses++
+	return state.misses == downAfterMiss
+}
+
+// heard counts an answer. It returns the incarnation before, and from where
+// cache events are wanted now.
+func (p *poller) heard(target, incarnation string) (before string, wantEvents bool, after uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.polled[target]
+	if state == nil {
+		return "", false, 0
+	}
+	before, state.incarnation = state.incarnation, incarnation
+	state.busy = false
+	state.misses = 0
+	state.rounds++
+	return before, state.rounds%eventsEvery == 1, state.nextEvent
+}
+
 func (p *poller) events(ctx context.Context, target topology.Target, after uint64) {
 	events, err := p.client.CacheEvents(ctx, target, after)
 	if err != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -14,17 +14,24 @@
 
 	"github.com/plantainrun/plantainrun/coord/clock"
 	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/coord/membership"
+	"github.com/plantainrun/plantainrun/coord/pause"
+	"github.com/plantainrun/plantainrun/coord/suspect"
 	"github.com/plantainrun/plantainrun/internal/audit"
 	"github.com/plantainrun/plantainrun/internal/config"
 	"github.com/plantainrun/plantainrun/internal/cost"
 	"github.com/plantainrun/plantainrun/internal/engine"
 	"github.com/plantainrun/plantainrun/internal/forward"
+	"github.com/plantainrun/plantainrun/internal/gossip"
+	"github.com/plantainrun/plantainrun/internal/hints"
 	"github.com/plantainrun/plantainrun/internal/httpserver"
 	"github.com/plantainrun/plantainrun/internal/knowledge"
 	"github.com/plantainrun/plantainrun/internal/mesh"
 	"github.com/plantainrun/plantainrun/internal/metrics"
 	"github.com/plantainrun/plantainrun/internal/once"
+	"github.com/plantainrun/plantainrun/internal/orders"
 	"github.com/plantainrun/plantainrun/internal/schedule"
+	"github.com/plantainrun/plantainrun/internal/sweep"
 )
 
 // Server is one entry host. Its methods are safe for concurrent use.
@@ -49,6 +56,12 @@
 	ledgers   *forward.Ledgers
 	limits    *limits
 	poller    *poller
+	tracker   *suspect.Tracker
+	pauses    *pause.Detector
+	gossip    *gossip.Gossip
+	hints     *hints.Hints
+	orders    *orders.Orders
+	sweeper   *sweep.Sweeper
 	callers   *httpserver.Server
 	operators *httpserver.Server
 
@@ -71,7 +84,7 @@
 		log:      log.With(zap.String("host", self.String())),
 		draining: make(chan struct{}), drained: make(chan struct{}),
 	}
-	for _, build := range []func() error{s.buildEdges, s.buildKnowledge, s.buildDecisions, s.buildCalls, s.buildInterfaces} {
+	for _, build := range []func() error{s.buildEdges, s.buildKnowledge, s.buildDecisions, s.buildMembers, s.buildCalls, s.buildInterfaces} {
 		if err := build(); err != nil {
 			return nil, err
 		}
@@ -92,6 +105,7 @@
 	s.knowledge.Subscribe(s.learned)
 	s.run(func() { _ = s.knowledge.Run(ctx) })
 	s.run(func() { s.poller.run(ctx) })
+	s.runMembers(ctx)
 	if err := s.operators.Start(); err != nil {
 		cancel()
 		return err
@@ -147,15 +161,17 @@
 
 func (s *Server) drain() {
 	defer close(s.drained)
-	time.Sleep(s.settings.Drain.BalancerWait)
-	ctx, cancel := context.WithTimeout(context.Background(), s.settings.Drain.Timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.settings.Drain.BalancerWait+s.settings.Drain.Timeout)
 	defer cancel()
+	s.gossip.Announce(ctx, membership.Leaving)
+	time.Sleep(s.settings.Drain.BalancerWait)
 	if err := s.callers.Shutdown(ctx); err != nil {
 		s.log.Error("requests were cut off, raise --drain-timeout", zap.Error(err))
 	}
 	closed := s.owner.Drain(ctx)
 	holders := s.ledgers.HandOver(ctx, closed)
 	s.log.Info("ledger handed over", zap.Int("tickets", closed.Len()), zap.Int("hosts", holders))
+	s.gossip.Announce(ctx, membership.Gone)
 	if err := s.mesh.Shutdown(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		s.log.Error("forwarded requests were cut off, raise --drain-timeout", zap.Error(err))
 	}
--- a/internal/server/suspects.go
+++ b/internal/server/suspects.go
@@ -1,10 +1,68 @@
 package server
 
-import "github.com/plantainrun/plantainrun/coord/outcome"
+import (
+	"context"
+	"errors"
 
-// noSuspects keeps no books.
-type noSuspects struct{}
+	"github.com/plantainrun/plantainrun/coord/suspect"
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/completion"
+	"github.com/plantainrun/plantainrun/internal/forward"
+)
 
-func (noSuspects) Admit(uint64) (bool, error)                  { return false, nil }
-func (noSuspects) Started(uint64, string)                      {}
-func (noSuspects) Ended(uint64, string, bool, outcome.Outcome) {}
+// suspects adapts the failure domain's tracker to completion.Suspects.
+type suspects struct {
+	tracker     *suspect.Tracker
+	incarnation func(target string) string
+}
+
+// Acquire waits until the prompt may run, or refuses it.
+func (s *suspects) Acquire(ctx context.Context, fp suspect.Fingerprint) (completion.SuspectRun, error) {
+	run, err := s.tracker.Acquire(ctx, fp)
+	if err != nil {
+		return nil, quarantineError(err)
+	}
+	return &suspectRun{Run: run, incarnation: s.incarnation}, nil
+}
+
+// Died records that a target died under a run.
+func (s *suspects) Died(target string) {
+	s.tracker.TargetDied(target, s.incarnation(target))
+}
+
+// suspectRun adds the target's incarnation to a run.
+type suspectRun struct {
+	*suspect.Run
+	incarnation func(target string) string
+}
+
+// On records where the prompt is about to run.
+func (r *suspectRun) On(target string) error {
+	return quarantineError(r.Run.On(target, r.incarnation(target)))
+}
+
+func quarantineError(err error) error {
+	var quarantined *suspect.QuarantinedError
+	if errors.As(err, &quarantined) {
+		return apierror.NotRun(apierror.KindQuarantined, "change the request, or come back when the quarantine is over",
+			"the same request crashed the targets that ran it").After(quarantined.RetryAfter)
+	}
+	return err
+}
+
+// arbiter brings suspects to the host that runs all of the failure domain's.
+// It implements completion.Arbiter.
+type arbiter struct {
+	fleet   *fleet
+	prompts *forward.Prompts
+}
+
+// Run runs a suspect at the arbiter. It reports false when that is this host,
+// or when it cannot be reached.
+func (a *arbiter) Run(ctx context.Context, req completion.Request, sink completion.Sink) (completion.Result, bool, error) {
+	host := suspect.Arbiter(a.fleet.host.Domain, a.fleet.LiveHosts(a.fleet.host.Domain))
+	if host == "" || host == a.fleet.host.ID {
+		return completion.Result{}, false, nil
+	}
+	return a.prompts.RunAt(ctx, host, req, sink)
+}
--- a/internal/server/wire.go
+++ b/internal/server/wire.go
@@ -8,6 +8,8 @@
 
 	"github.com/plantainrun/plantainrun/coord/ledger"
 	"github.com/plantainrun/plantainrun/coord/retry"
+	"github.com/plantainrun/plantainrun/coord/share"
+	"github.com/plantainrun/plantainrun/coord/suspect"
 	"github.com/plantainrun/plantainrun/internal/audit"
 	"github.com/plantainrun/plantainrun/internal/caller"
 	"github.com/plantainrun/plantainrun/internal/completion"
@@ -64,12 +66,13 @@
 		ReadsPerSecond: s.settings.Platform.ReadsPerSecond,
 		ReadBurst:      platformBurst,
 	})
+	s.fleet = newFleet(s.settings.Host, s.clk)
 	var err error
 	s.knowledge, err = knowledge.New(knowledge.Config{
 		Host: s.self.Host, Domain: s.settings.Host.Domain, Partners: s.settings.Platform.Partners(),
 		Source: client, Audit: s.trail, Log: s.log, StartWait: s.settings.Platform.FirstWait,
+		Alive: s.fleet.alive,
 	})
-	s.fleet = newFleet(s.settings.Host)
 	return err
 }
 
@@ -79,10 +82,17 @@
 	s.scheduler = schedule.New(schedule.Config{
 		Self: s.self.Host, Incarnation: s.self.String(), Domain: s.settings.Host.Domain,
 		Clock: s.clk, Estimator: s.estimator,
+		OnDispatch: func(d schedule.PeerDispatch) { s.hints.Dispatched(d) },
+		SendAsk:    func(peer string, ask schedule.MemoryAsk) { s.hints.AskMemory(peer, ask) },
+		SendReturn: func(peer, target string, id share.LoanID) { s.hints.ReturnMemory(peer, target, id) },
 	})
+	s.fleet.loads = s.scheduler.DomainLoads
+	tracking := suspect.DefaultConfig()
+	tracking.Announce = s.announce
+	s.tracker = suspect.New(s.clk, tracking)
 	s.engines = engine.New(engine.Options{})
 	s.limits = newLimits(s.self, s.clk)
-	s.poller = newPoller(s.engines, s.scheduler, s.clk)
+	s.poller = newPoller(s.engines, s.scheduler, s, s.clk)
 	return nil
 }
 
@@ -108,10 +118,11 @@
 	calls := &serviceCalls{router: router, repeat: idempotent.New(s.fleet, svc, budget), rules: s}
 	runner := &completion.Local{
 		Estimator: estimate{s.estimator}, Scheduler: s.scheduler, Engines: &engines{client: s.engines, self: s.self},
-		Suspects: noSuspects{}, Limiter: s.limits, Retries: budget, Observer: s.metrics, Clock: s.clk,
+		Suspects: &suspects{tracker: s.tracker, incarnation: s.poller.incarnation}, Limiter: s.limits, Retries: budget, Observer: s.metrics, Clock: s.clk,
 	}
 	prompts := forward.NewPrompts(s.mesh, s.fleet, estimate{s.estimator})
 	runner.Overflow = prompts
+	runner.Arbiter = &arbiter{fleet: s.fleet, prompts: prompts}
 	forward.ServePrompts(s.mesh, runner, s)
 	return s.buildCallers(runner, calls)
 }
@@ -154,6 +165,6 @@
 	s.scheduler.SetHosts(s.fleet.domainHosts())
 	s.scheduler.SetRules(ruleSets(snap.Rules))
 	s.limits.set(snap.Rules, s.fleet.liveHosts())
-	s.poller.set(s.fleet.engines())
+	s.poller.set(s.fleet.Engines(s.settings.Host.Domain))
 	s.log.Debug("knowledge changed", zap.Time("at", time.Now()))
 }
