Spread published values over the peers

Cause: few hosts can read the configuration service, and it holds only the newest value, good or bad; all others must hear of it from peers.

- coord/dissemination: memory of what each peer has, so that a value goes over each link once; recent values as the base of what is sent.
- internal/knowledge: watches by the readers of a failure domain, pushes to the links, an exchange of digests with one link a second, stand-in readers when the age of what is known grows, refusals passed on for every audit trail, and a start that asks peers before it calls itself ready.

Ruled out: ready as soon as two peers answered. When all but one host restart under a stale service, the two may be starting as well; so an answer counts only from a host that had started, or that heard from one.

--- a/coord/dissemination/store.go
+++ b/coord/dissemination/store.go
@@ -74,11 +74,15 @@
 	adopted, known, older, invalid, corrupt, conflicts atomic.Uint64
 }
 
+// historyLength is how many values of a key a store keeps after they were in force.
+const historyLength = 3
+
 // record is what a store knows of one key.
 type record struct {
 	validate Validate
 	mu       sync.Mutex
 	good     Value
+	history  []Value // in force before, the newest last
 	bad      Version // the highest invalid version
 	badErr   error
 }
@@ -135,11 +139,22 @@
 		result.Outcome, result.Err = Invalid, err
 		return result
 	}
+	r.remember(r.good)
 	r.good = v
 	result.Outcome = Adopted
 	return result
 }
 
+func (r *record) remember(v Value) {
+	if v.Revision == 0 {
+		return
+	}
+	r.history = append(r.history, v)
+	if len(r.history) > historyLength {
+		r.history = slices.Delete(r.history, 0, 1)
+	}
+}
+
 // conflicts tells whether another body with the same revision was seen.
 func (r *record) conflicts(v Version) bool {
 	return (v.Revision == r.good.Revision && v.Checksum != r.good.Checksum && r.good.Revision > 0) ||
@@ -173,6 +188,26 @@
 	return r.good, r.good.Revision > 0
 }
 
+// Recent returns the value of key with the given version, if it is in force or
+// was so lately. Two hosts that have it need to send each other only what changed.
+func (s *Store) Recent(key string, version Version) (Value, bool) {
+	r, ok := s.records[key]
+	if !ok || version == (Version{}) {
+		return Value{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.good.Version() == version {
+		return r.good, true
+	}
+	for _, v := range r.history {
+		if v.Version() == version {
+			return v, true
+		}
+	}
+	return Value{}, false
+}
+
 // Seen returns the highest revision of key that was judged, good or bad.
 func (s *Store) Seen(key string) uint64 {
 	r, ok := s.records[key]
@@ -214,25 +249,13 @@
 func (s *Store) Ahead(peer Digest) []Value {
 	var ahead []Value
 	for _, key := range s.keys {
-		if v, ok := s.Get(key); ok && v.Version().After(peer.version(key)) {
+		if v, ok := s.Get(key); ok && v.Version().After(peer.Version(key)) {
 			ahead = append(ahead, v)
 		}
 	}
 	return ahead
 }
 
-// Behind returns the keys of which a peer's digest has a later version.
-func (s *Store) Behind(peer Digest) []string {
-	var behind []string
-	for _, key := range s.keys {
-		v, _ := s.Get(key)
-		if peer.version(key).After(v.Version()) {
-			behind = append(behind, key)
-		}
-	}
-	return behind
-}
-
 // Stats returns the counters.
 func (s *Store) Stats() Stats {
 	return Stats{
--- a/coord/dissemination/value.go
+++ b/coord/dissemination/value.go
@@ -54,8 +54,8 @@
 // Digest says which versions a store holds, in the order of the keys.
 type Digest []Entry
 
-// version returns the version of key in the digest; zero: none.
-func (d Digest) version(key string) Version {
+// Version returns the version of key in the digest; zero: none.
+func (d Digest) Version(key string) Version {
 	for _, e := range d {
 		if e.Key == key {
 			return e.Good
--- a/internal/knowledge/adopt.go
+++ b/internal/knowledge/adopt.go
@@ -1,7 +1,6 @@
 package knowledge
 
 import (
-	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -123,7 +122,8 @@
 	}
 	k.cfg.Audit.Record(adoptionEntry(before, v, partner, source))
 	k.cfg.Log.Info("in force", zap.String("key", v.Key), zap.Uint64("revision", v.Revision), zap.String("source", source))
-	k.wake()
+	signal(k.nudge)
+	signal(k.changed)
 }
 
 func (k *Knowledge) putRules(next *Snapshot, partner string, revision uint64) {
@@ -137,10 +137,10 @@
 	slices.SortFunc(next.RulesRevisions, func(a, b RulesRevision) int { return strings.Compare(a.Partner, b.Partner) })
 }
 
-// wake tells the loops that hosts or values changed.
-func (k *Knowledge) wake() {
+// signal wakes the loop that waits for ch, if it is not awake already.
+func signal(ch chan struct{}) {
 	select {
-	case k.nudge <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -176,20 +176,3 @@
 	e.Who = slices.Compact(e.Who)
 	e.Summary = ruleSummary(added, removed)
 }
-
-// refused records a value that is kept out; the caller holds k.mu.
-func (k *Knowledge) refused(v dissemination.Value, result dissemination.Result, source string) {
-	partner, _ := platform.RulesPartner(v.Key)
-	reasons := []audit.Reason{{Message: result.Err.Error(), Remedy: "publish a valid value"}}
-	var invalid *invalidError
-	if errors.As(result.Err, &invalid) {
-		reasons = invalid.reasons
-	}
-	k.cfg.Audit.Record(audit.Entry{
-		Time: time.Now(), Subject: v.Key, Partner: partner, From: result.Previous.Revision, To: v.Revision,
-		Verdict: audit.VerdictRefused, Reasons: reasons, Source: source,
-		Summary: "kept out; the last good value stays in force",
-	})
-	k.cfg.Log.Warn("kept out", zap.String("key", v.Key), zap.Uint64("revision", v.Revision),
-		zap.String("source", source), zap.Int("reasons", len(reasons)))
-}
--- /dev/null
+++ b/internal/knowledge/exchange.go
@@ -0,0 +1,186 @@
+package knowledge
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainrun/plantainrun/coord/dissemination"
+	"github.com/plantainrun/plantainrun/internal/knowledge/knowledgepb"
+)
+
+// linkTimeout bounds one exchange or push, since a link can be silent.
+const linkTimeout = 2 * time.Second
+
+// runExchanges exchanges digests with one peer after the other. This repairs
+// whatever pushes lost.
+func (k *Knowledge) runExchanges(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, k.jittered(k.cfg.ExchangeInterval))
+		peers := k.cfg.Links.Peers()
+		k.peers.Keep(peers)
+		if host := k.peers.Next(peers); host != "" {
+			_ = k.exchange(ctx, host) // counted; the next peer's turn comes anyway
+		}
+	}
+}
+
+// exchange asks a peer for what this host lacks and sends what the peer lacks.
+func (k *Knowledge) exchange(ctx context.Context, host string) error {
+	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
+	defer cancel()
+	digest := k.digest()
+	k.counters.bytesOut.Add(uint64(proto.Size(digest)))
+	k.counters.exchanges.Add(1)
+	answer, err := k.cfg.Links.Exchange(ctx, host, digest)
+	if err != nil {
+		k.counters.exchangeFailures.Add(1)
+		return err
+	}
+	_ = k.heard(host, answer) // what cannot be decoded is counted and comes again
+	k.heardAtStart(host, answer.GetDigest().GetInformed())
+	return k.push(ctx, host, nil)
+}
+
+// HandleExchange answers a peer's digest with this host's and what the peer lacks.
+func (k *Knowledge) HandleExchange(_ context.Context, from string, digest *knowledgepb.Digest) (*knowledgepb.Values, error) {
+	k.counters.bytesIn.Add(uint64(proto.Size(digest)))
+	k.heardDigest(from, digest)
+	answer := &knowledgepb.Values{Digest: k.digest(), Refusals: k.refusalsFor(digest)}
+	updates := k.peers.Lacks(from)
+	if err := k.encodeAll(updates, answer); err != nil {
+		return nil, err
+	}
+	k.peers.Sent(from, updates)
+	k.counters.bytesOut.Add(uint64(proto.Size(answer)))
+	return answer, nil
+}
+
+// HandlePush takes what a peer sent.
+func (k *Knowledge) HandlePush(_ context.Context, from string, values *knowledgepb.Values) error {
+	err := k.heard(from, values)
+	if errors.Is(err, errNoBase) {
+		k.askAgain(from)
+	}
+	return err
+}
+
+// askAgain makes the push loop exchange digests with a peer.
+func (k *Knowledge) askAgain(host string) {
+	select {
+	case k.again <- host:
+	default: // the periodic exchange does it
+	}
+}
+
+// heard takes in a message. It returns errNoBase if a value could not be
+// decoded for want of the value that it builds on.
+func (k *Knowledge) heard(from string, values *knowledgepb.Values) error {
+	k.counters.bytesIn.Add(uint64(proto.Size(values)))
+	var failed error
+	for _, msg := range values.GetValues() {
+		v, err := decode(msg, k.store.Recent)
+		if err != nil {
+			k.counters.undecodable.Add(1)
+			failed = err
+			continue
+		}
+		k.offer(v, from)
+	}
+	for _, r := range values.GetRefusals() {
+		k.heardRefusal(r)
+	}
+	if values.GetDigest() != nil {
+		k.heardDigest(from, values.GetDigest())
+	}
+	return failed
+}
+
+// heardDigest notes what a peer has, and its confirmations of what is in force here, too.
+func (k *Knowledge) heardDigest(from string, digest *knowledgepb.Digest) {
+	k.peers.Heard(from, digestOf(digest))
+	now := time.Now()
+	for _, e := range digest.GetEntries() {
+		v, _ := k.store.Get(e.GetKey())
+		same := v.Revision == e.GetRevision() && v.Checksum == e.GetChecksum()
+		if same && e.GetConfirmedMs() > 0 {
+			k.confirmed(e.GetKey(), now.Add(-time.Duration(e.GetConfirmedMs())*time.Millisecond))
+		}
+	}
+}
+
+// digest returns what this host has in force.
+func (k *Knowledge) digest() *knowledgepb.Digest {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	msg := &knowledgepb.Digest{Host: k.cfg.Host, Informed: k.start.over || k.start.informed() > 0}
+	for _, e := range k.store.Digest() {
+		entry := &knowledgepb.Entry{Key: e.Key, Revision: e.Good.Revision, Checksum: e.Good.Checksum}
+		if at := k.freshness[e.Key].confirmedAt; !at.IsZero() {
+			entry.ConfirmedMs = 1 + uint64(max(0, time.Since(at).Milliseconds()))
+		}
+		if r := k.refusals[e.Key]; r != nil && versionOf(r).After(e.Good) {
+			entry.RefusedRevision, entry.RefusedChecksum = r.GetRevision(), r.GetChecksum()
+		}
+		msg.Entries = append(msg.Entries, entry)
+	}
+	return msg
+}
+
+func (k *Knowledge) encodeAll(updates []dissemination.Update, into *knowledgepb.Values) error {
+	for _, u := range updates {
+		msg, err := k.encoder.encode(u)
+		if err != nil {
+			return err
+		}
+		into.Values = append(into.Values, msg)
+	}
+	return nil
+}
+
+// push sends a peer the values that it lacks, as far as is known, and the refusals.
+func (k *Knowledge) push(ctx context.Context, host string, refusals []*knowledgepb.Refusal) error {
+	updates := k.peers.Lacks(host)
+	if len(updates)+len(refusals) == 0 {
+		return nil
+	}
+	values := &knowledgepb.Values{Refusals: refusals}
+	if err := k.encodeAll(updates, values); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
+	defer cancel()
+	k.counters.pushes.Add(1)
+	k.counters.bytesOut.Add(uint64(proto.Size(values)))
+	k.peers.Sent(host, updates)
+	if err := k.cfg.Links.Push(ctx, host, values); err != nil {
+		k.counters.pushFailures.Add(1)
+		k.askAgain(host) // its digest tells what arrived
+		return err
+	}
+	return nil
+}
+
+// runPushes passes changes on to all links, some time after the first of them.
+func (k *Knowledge) runPushes(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case host := <-k.again:
+			wg.Go(func() { _ = k.exchange(ctx, host) }) // counted
+			continue
+		case <-k.changed:
+		}
+		refusals := k.takeRefusals()
+		for _, host := range k.cfg.Links.Peers() {
+			wg.Go(func() { _ = k.push(ctx, host, refusals) }) // counted; exchanges repair it
+		}
+		sleep(ctx, k.cfg.BatchInterval)
+	}
+}
--- a/internal/knowledge/knowledge.go
+++ b/internal/knowledge/knowledge.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +46,7 @@
 	DefaultCheckInterval    = time.Minute
 	DefaultExchangeInterval = time.Second
 	DefaultStartWait        = 10 * time.Second
+	DefaultStartSpread      = 4 * time.Second
 	DefaultBatchInterval    = 250 * time.Millisecond
 	DefaultReaders          = 3
 )
@@ -72,6 +72,9 @@
 	ExchangeInterval time.Duration
 	// StartWait is how long a new host waits for answers.
 	StartWait time.Duration
+	// StartSpread bounds the random wait before the first read of a host that
+	// no peer told the host list.
+	StartSpread time.Duration
 	// BatchInterval is the least time between two reads of a key and between two pushes.
 	BatchInterval time.Duration
 	// Readers is how many hosts of a failure domain hold watches.
@@ -98,6 +101,7 @@
 	c.CheckInterval = orDefault(c.CheckInterval, DefaultCheckInterval)
 	c.ExchangeInterval = orDefault(c.ExchangeInterval, DefaultExchangeInterval)
 	c.StartWait = orDefault(c.StartWait, DefaultStartWait)
+	c.StartSpread = orDefault(c.StartSpread, DefaultStartSpread)
 	c.BatchInterval = orDefault(c.BatchInterval, DefaultBatchInterval)
 	if c.Readers == 0 {
 		c.Readers = DefaultReaders
@@ -134,13 +138,19 @@
 type Knowledge struct {
 	cfg      Config
 	store    *dissemination.Store
+	peers    *dissemination.Peers
+	encoder  *encoder
 	snapshot atomic.Pointer[Snapshot]
 	counters counters
-	nudge    chan struct{} // hosts or readers may have changed
+	nudge    chan struct{} // the readers may have changed
+	changed  chan struct{} // there is something to pass on
+	again    chan string   // peers to exchange digests with at once
 
 	mu          sync.Mutex // serialises adoption; guards what follows
 	decoded     decoded
 	freshness   map[string]*freshness
+	refusals    map[string]*knowledgepb.Refusal // the latest of each key
+	unsent      []*knowledgepb.Refusal
 	subscribers []func(Snapshot)
 	start       startState
 }
@@ -158,11 +168,17 @@
 	}
 	k := &Knowledge{
 		cfg:       cfg,
+		encoder:   newEncoder(),
 		nudge:     make(chan struct{}, 1),
+		changed:   make(chan struct{}, 1),
+		again:     make(chan string, 1),
 		freshness: make(map[string]*freshness),
+		refusals:  make(map[string]*knowledgepb.Refusal),
 		decoded:   decoded{sets: make(map[string]*rules.Set)},
+		start:     startState{peers: make(map[string]bool)},
 	}
 	k.store = dissemination.NewStore(k.validators())
+	k.peers = dissemination.NewPeers(k.store)
 	for _, key := range k.store.Keys() {
 		k.freshness[key] = &freshness{}
 	}
@@ -193,38 +209,19 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	k.beginStart()
-	wg.Go(func() { k.runStart(ctx) })
-	wg.Go(func() { k.superviseWatches(ctx) })
+	asked := make(chan struct{})
+	wg.Go(func() { k.runStart(ctx, asked) })
+	wg.Go(func() {
+		<-asked
+		k.superviseWatches(ctx)
+	})
 	wg.Go(func() { k.runChecks(ctx) })
+	wg.Go(func() { k.runExchanges(ctx) })
+	wg.Go(func() { k.runPushes(ctx) })
 	<-ctx.Done()
 	return ctx.Err()
 }
 
-// members returns the live hosts of this host's failure domain that answer,
-// this host among them, and those of all domains.
-func (k *Knowledge) members() (domain, all []string) {
-	for _, h := range k.Snapshot().Hosts.Hosts {
-		if h.State != topology.StateLive || (h.ID != k.cfg.Host && !k.cfg.Alive(h.ID)) {
-			continue
-		}
-		all = append(all, h.ID)
-		if h.Domain == k.cfg.Domain {
-			domain = append(domain, h.ID)
-		}
-	}
-	return domain, all
-}
-
-// isReader tells whether this host holds watches. Without a host list, or
-// while it is not on the list, it does.
-func (k *Knowledge) isReader() bool {
-	domain, _ := k.members()
-	if !slices.Contains(domain, k.cfg.Host) {
-		return true
-	}
-	return slices.Contains(dissemination.Readers(k.cfg.Domain, domain, k.cfg.Readers), k.cfg.Host)
-}
-
 // noLinks is a host without peers.
 type noLinks struct{}
 
--- a/internal/knowledge/read.go
+++ b/internal/knowledge/read.go
@@ -80,10 +80,14 @@
 	asked := time.Now()
 	v, err := k.cfg.Source.Read(ctx, key)
 	var missing *platform.NotFoundError
+	var older *platform.OlderError
 	switch {
 	case errors.As(err, &missing):
 		k.answered()
 		return nil
+	case errors.As(err, &older):
+		k.counters.platformOlder.Add(1)
+		return err
 	case err != nil:
 		return err
 	}
@@ -91,6 +95,7 @@
 	seen := k.store.Seen(key)
 	result := k.offer(dissemination.NewValue(key, v.Revision, v.Body), sourcePlatform)
 	if result.Outcome == dissemination.Older {
+		k.counters.platformOlder.Add(1)
 		return &platform.OlderError{Key: key, Revision: v.Revision, Seen: seen}
 	}
 	k.confirmed(key, asked)
@@ -130,18 +135,26 @@
 		switch revision := newest[key]; {
 		case revision > seen:
 			err = errors.Join(err, k.read(ctx, key))
-		case revision == seen && seen > 0:
+		case revision == seen:
 			k.confirmed(key, asked)
+		case seen > q.After:
+			k.counters.platformOlder.Add(1)
 		}
 	}
 	return err
 }
 
 // jittered returns a duration around mean, by up to half of it.
-func (k *Knowledge) jittered(mean time.Duration) time.Duration {
+func (k *Knowledge) jittered(mean time.Duration) time.Duration { return mean/2 + k.below(mean) }
+
+// below returns a random duration below d.
+func (k *Knowledge) below(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return mean/2 + time.Duration(k.cfg.Rand.Int64N(int64(mean)))
+	return time.Duration(k.cfg.Rand.Int64N(int64(d)))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/knowledge/spread_test.go
@@ -0,0 +1,262 @@
+package knowledge_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/plantainrun/plantainrun/internal/knowledge"
+	"github.com/plantainrun/plantainrun/internal/platform"
+	standin "github.com/plantainrun/plantainrun/internal/standin/platform"
+)
+
+// inForceWithin is the target for an accepted change.
+const inForceWithin = 9 * time.Second
+
+var partners = []string{"kushiro", "aarhus"}
+
+// spreadModel is the oracle: what was published, and what is in force.
+type spreadModel struct {
+	*cluster
+	t         *testing.T
+	bodies    map[uint64]int    // the content of each valid rules file, by revision
+	published map[string]uint64 // what the service offers, by key; zero if that is a bad file
+	stale     bool              // the service is down or answers as of an older revision
+	limit     int
+}
+
+// Whatever hosts, links and the service do: no host goes back, all hosts that
+// are connected have the same revision within the target, it is the newest one that any of
+// them had, and the service's if they reach it.
+func TestAcceptedRulesSpreadAndNeverRevert(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		domains := rapid.IntRange(1, 3).Draw(rt, "domains")
+		perDomain := rapid.IntRange(1, 6).Draw(rt, "hosts per domain")
+		steps := rapid.SliceOfN(rapid.Uint64(), 10, 30).Draw(rt, "steps")
+		loss := rapid.SampledFrom([]int{0, 5, 10}).Draw(rt, "loss")
+		late := rapid.SampledFrom([]int{0, 20}).Draw(rt, "late")
+		var fault string
+		synctest.Test(t, func(t *testing.T) {
+			m := &spreadModel{
+				cluster: newCluster(domains, perDomain, seed), t: t,
+				bodies: make(map[uint64]int), published: make(map[string]uint64),
+			}
+			m.lossPercent, m.latePercent = loss, late
+			fault = m.run(steps)
+		})
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+func (m *spreadModel) run(steps []uint64) string {
+	m.publish(m.t, platform.KeyHosts, m.list())
+	m.publish(m.t, platform.KeyTargets, someTargets)
+	m.publishGood(0)
+	m.publishGood(1)
+	for _, h := range m.hosts {
+		m.start(h, knowledge.Config{})
+	}
+	defer m.close()
+	time.Sleep(time.Minute)
+	var done []string
+	for i, s := range steps {
+		done = append(done, m.step(s))
+		if fault := m.broken(); fault != "" {
+			return fmt.Sprintf("step %d: %s; steps %q; %s", i, fault, done, m.state())
+		}
+	}
+	if fault := m.settle(); fault != "" {
+		return fmt.Sprintf("at the end: %s; steps %q; %s", fault, done, m.state())
+	}
+	return ""
+}
+
+// step does one thing that operators or faults can do.
+func (m *spreadModel) step(s uint64) string {
+	a, b := int(s>>8%1024), int(s>>20%1024)
+	domain := m.hosts[a%len(m.hosts)].domain
+	switch s % 13 {
+	case 0:
+		m.publishGood(a)
+		return "publish"
+	case 1:
+		m.publishGood(0)
+		m.publishGood(1)
+		return "both partners publish"
+	case 2:
+		key := platform.RulesKey(partners[a%2])
+		m.publish(m.t, key, []byte("partner "+partners[a%2]+"\nobjective slowdown\n"))
+		m.published[key] = 0 // the service holds the newest value only
+		return "publish a bad file"
+	case 3:
+		m.restart(m.hosts[a%len(m.hosts)])
+		return "restart " + m.hosts[a%len(m.hosts)].id
+	case 4:
+		for i, h := range m.hosts {
+			if i != a%len(m.hosts) {
+				m.restart(h)
+			}
+		}
+		return "restart all but " + m.hosts[a%len(m.hosts)].id
+	case 5:
+		m.setFaults(standin.Faults{Down: true})
+		return "service down"
+	case 6:
+		m.setFaults(standin.Faults{StaleAt: 1 + uint64(b)%m.service.Revision()})
+		return "service stale"
+	case 7:
+		m.setFaults(standin.Faults{})
+		return "service up"
+	case 8:
+		m.toggle(m.noPlatform, domain)
+		return "domain to service: " + domain
+	case 9:
+		m.toggle(m.cutOff, domain)
+		return "domain to others: " + domain
+	case 10, 11:
+		time.Sleep(time.Duration(b) * 3 * time.Millisecond)
+		return "wait"
+	default:
+		if fault := m.settle(); fault != "" {
+			m.fault = fault
+		}
+		return "settle"
+	}
+}
+
+func (m *spreadModel) publishGood(partner int) {
+	m.limit++
+	key := platform.RulesKey(partners[partner%2])
+	revision := m.publish(m.t, key, rulesFile(partners[partner%2], m.limit))
+	m.bodies[revision], m.published[key] = m.limit, revision
+}
+
+func (m *spreadModel) setFaults(f standin.Faults) {
+	m.stale = f.Down || f.StaleAt > 0
+	m.service.SetFaults(f)
+}
+
+func (m *spreadModel) toggle(flags map[string]bool, domain string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	flags[domain] = !flags[domain]
+}
+
+func (m *spreadModel) restart(h *host) {
+	m.crash(h)
+	m.start(h, knowledge.Config{})
+}
+
+// broken returns a promise that does not hold at the moment.
+func (m *spreadModel) broken() string {
+	for _, h := range m.hosts {
+		s := h.k.Snapshot()
+		for _, r := range s.RulesRevisions {
+			content := time.Duration(m.bodies[r.Revision]) * time.Second
+			if got := s.Rules.LimitFor(r.Partner, "short"); got != content {
+				return fmt.Sprintf("%s has revision %d of %s with limit %s instead of %s", h.id, r.Revision, r.Partner, got, content)
+			}
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fault
+}
+
+// settle waits for the target and checks that connected hosts agree.
+func (m *spreadModel) settle() string {
+	before := make(map[string]map[string]uint64)
+	for _, h := range m.hosts {
+		before[h.id] = revisionsOf(h.k.Snapshot())
+	}
+	time.Sleep(inForceWithin)
+	for _, partner := range partners {
+		key := platform.RulesKey(partner)
+		for _, group := range m.components() {
+			want := m.wanted(group, key, before)
+			for _, h := range group {
+				if got := revisionsOf(h.k.Snapshot())[key]; got < want {
+					return fmt.Sprintf("%s has revision %d of %s, not %d, after %s", h.id, got, key, want, inForceWithin)
+				}
+			}
+		}
+	}
+	return m.broken()
+}
+
+// wanted returns the least revision that the hosts of a group must have.
+func (m *spreadModel) wanted(group []*host, key string, before map[string]map[string]uint64) uint64 {
+	var want uint64
+	for _, h := range group {
+		want = max(want, before[h.id][key])
+		if !m.stale && !m.noPlatform[h.domain] {
+			want = max(want, m.published[key])
+		}
+	}
+	return want
+}
+
+// components returns the groups of hosts that reach each other.
+func (m *spreadModel) components() [][]*host {
+	groups := make(map[string][]*host)
+	for _, h := range m.hosts {
+		name := "connected"
+		if m.cutOff[h.domain] {
+			name = h.domain
+		}
+		groups[name] = append(groups[name], h)
+	}
+	var all [][]*host
+	for _, g := range groups {
+		all = append(all, g)
+	}
+	return all
+}
+
+func (m *spreadModel) state() string {
+	return fmt.Sprintf("published %v, service at fault: %t, without service %v, cut off %v", m.published, m.stale, m.noPlatform, m.cutOff)
+}
+
+// A new host that a stale service answers must not be ready with an older
+// revision than its peers have.
+func TestAStaleServiceIsOutrankedByPeersAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		c := newCluster(1, 6, 1)
+		defer c.close()
+		key := platform.RulesKey("kushiro")
+		c.publish(t, platform.KeyHosts, c.list())
+		c.publish(t, platform.KeyTargets, someTargets)
+		old := c.publish(t, key, rulesFile("kushiro", 1))
+		newest := c.publish(t, key, rulesFile("kushiro", 2))
+		for _, h := range c.hosts {
+			c.start(h, knowledge.Config{})
+		}
+		time.Sleep(time.Minute)
+		c.service.SetFaults(standin.Faults{StaleAt: old})
+		for _, h := range c.hosts[1:] { // all but one
+			c.crash(h)
+		}
+		for _, h := range c.hosts[1:] {
+			c.start(h, knowledge.Config{})
+		}
+		for range 2_000 {
+			time.Sleep(10 * time.Millisecond)
+			for _, h := range c.hosts {
+				if h.k.Ready().Ready {
+					g.Expect(revisionsOf(h.k.Snapshot())[key]).To(gomega.Equal(newest), h.id)
+				}
+			}
+		}
+		for _, h := range c.hosts {
+			g.Expect(h.k.Ready()).To(gomega.Equal(knowledge.Readiness{Ready: true}))
+		}
+	})
+}
--- a/internal/knowledge/status.go
+++ b/internal/knowledge/status.go
@@ -1,19 +1,16 @@
 package knowledge
 
 import (
-	"context"
-	"fmt"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/plantainrun/plantainrun/coord/dissemination"
-	"github.com/plantainrun/plantainrun/internal/platform"
 )
 
 // counters count what a Knowledge did.
 type counters struct {
 	exchanges, exchangeFailures, pushes, pushFailures atomic.Uint64
+	undecodable, platformOlder                        atomic.Uint64
 	bytesIn, bytesOut                                 atomic.Uint64
 	platformAnswers                                   atomic.Uint64
 }
@@ -22,12 +19,14 @@
 type Stats struct {
 	Store            dissemination.Stats `json:"store"`
 	PlatformAnswers  uint64              `json:"platform_answers"`
+	PlatformOlder    uint64              `json:"platform_older"` // answers older than what is in force
 	Exchanges        uint64              `json:"exchanges"`
 	ExchangeFailures uint64              `json:"exchange_failures"`
 	Pushes           uint64              `json:"pushes"`
 	PushFailures     uint64              `json:"push_failures"`
-	BytesIn          uint64              `json:"bytes_in"`  // message bodies from peers
-	BytesOut         uint64              `json:"bytes_out"` // message bodies to peers
+	Undecodable      uint64              `json:"undecodable"` // values that were damaged or build on an unknown one
+	BytesIn          uint64              `json:"bytes_in"`    // message bodies from peers
+	BytesOut         uint64              `json:"bytes_out"`   // message bodies to peers
 	Reader           bool                `json:"reader"`
 }
 
@@ -36,10 +35,12 @@
 	return Stats{
 		Store:            k.store.Stats(),
 		PlatformAnswers:  k.counters.platformAnswers.Load(),
+		PlatformOlder:    k.counters.platformOlder.Load(),
 		Exchanges:        k.counters.exchanges.Load(),
 		ExchangeFailures: k.counters.exchangeFailures.Load(),
 		Pushes:           k.counters.pushes.Load(),
 		PushFailures:     k.counters.pushFailures.Load(),
+		Undecodable:      k.counters.undecodable.Load(),
 		BytesIn:          k.counters.bytesIn.Load(),
 		BytesOut:         k.counters.bytesOut.Load(),
 		Reader:           k.isReader(),
@@ -105,92 +106,3 @@
 	f, ok := k.freshness[key]
 	return ok && !f.confirmedAt.IsZero() && time.Since(f.confirmedAt) <= d
 }
-
-// Readiness tells whether this host knows enough to serve.
-type Readiness struct {
-	Ready bool `json:"ready"`
-	// Reason is why the host is not ready, or serves old knowledge; "" if all is well.
-	Reason string `json:"reason,omitempty"`
-	// Next is what the host does about it by itself.
-	Next string `json:"next,omitempty"`
-}
-
-// startState is how far a new host has come; k.mu guards it.
-type startState struct {
-	begun    time.Time
-	platform bool // the configuration service answered
-	over     bool // all were asked, or the wait is over
-	expired  bool // the wait is over without an answer from all
-}
-
-func (k *Knowledge) beginStart() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.start = startState{begun: time.Now()}
-}
-
-// answered notes an answer of the configuration service.
-func (k *Knowledge) answered() {
-	k.counters.platformAnswers.Add(1)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.start.platform = true
-}
-
-// runStart asks the service until it answers or the wait is over.
-func (k *Knowledge) runStart(ctx context.Context) {
-	waitCtx, cancel := context.WithTimeout(ctx, k.cfg.StartWait)
-	defer cancel()
-	backoff := platform.Backoff{First: firstBackoff, Max: maxBackoff}
-	for waitCtx.Err() == nil {
-		if k.check(waitCtx) == nil {
-			break
-		}
-		sleep(waitCtx, backoff.Next())
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.start.over = true
-	k.start.expired = waitCtx.Err() != nil
-}
-
-// Ready tells whether this host knows enough to serve.
-func (k *Knowledge) Ready() Readiness {
-	k.mu.Lock()
-	start := k.start
-	k.mu.Unlock()
-	lacking := k.lacking()
-	wait := k.cfg.StartWait
-	switch {
-	case !start.over:
-		return Readiness{
-			Reason: "asking the configuration service and peers for the newest values",
-			Next:   fmt.Sprintf("serves as soon as all answered, or after %s with what it has", wait),
-		}
-	case len(lacking) > 0:
-		return Readiness{
-			Reason: fmt.Sprintf("nobody gave a valid value of %s", strings.Join(lacking, ", ")),
-			Next:   fmt.Sprintf("keeps asking the configuration service and peers, at least every %s, and serves once it has them", maxBackoff),
-		}
-	case start.expired:
-		return Readiness{
-			Ready:  true,
-			Reason: fmt.Sprintf("not everybody who may know newer values answered within %s; serves what it has", wait),
-			Next:   "keeps asking and adopts newer values",
-		}
-	}
-	return Readiness{Ready: true}
-}
-
-// lacking names what a host must know before it can serve.
-func (k *Knowledge) lacking() []string {
-	s := k.Snapshot()
-	var names []string
-	if len(s.RulesRevisions) == 0 {
-		names = append(names, "any partner's rules")
-	}
-	if s.TargetsRevision == 0 {
-		names = append(names, platform.KeyTargets)
-	}
-	return names
-}
