--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -226,3 +226,5 @@
 }
 
 func examples(name string) string { return filepath.Join("..", "..", "examples", "rules", name) }
+
+func jsonBody(t *testing.T, v any) io.Reader { return strings.NewReader(marshal(t, v)) }
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -24,6 +24,7 @@
 	mux.HandleFunc("POST "+engineapi.PathKVImport, e.importKV)
 	mux.HandleFunc("DELETE "+engineapi.PathKV+"/{id}", e.releaseKV)
 	mux.HandleFunc("POST "+engineapi.PathControl, e.control)
+	mux.HandleFunc("GET "+engineapi.PathControl, e.report)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != engineapi.PathControl && e.down() {
 			panic(http.ErrAbortHandler)
--- /dev/null
+++ b/internal/standin/engine/report.go
@@ -0,0 +1,8 @@
+package engine
+
+import "net/http"
+
+// report serves the counters, for tests with separate processes.
+func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.Counts())
+}
