--- a/internal/engine/consume.go
+++ b/internal/engine/consume.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 
 	"github.com/plantainrun/plantainrun/coord/outcome"
@@ -20,15 +21,17 @@
 
 // consume passes the tokens of one connection on. It returns nil when the
 // answer is whole, an *Error when the attempt has ended, and otherwise a fault.
-func (a *attempt) consume(x *exchange) error {
+// Once ctx has ended no token is passed on, not even one that came before.
+func (a *attempt) consume(ctx context.Context, x *exchange) error {
 	lines := bufio.NewScanner(x.resp.Body)
 	lines.Buffer(nil, longestLine)
+	lines.Split(wholeLine)
 	before := a.result.Tokens
 	for {
 		x.expect(a.client.bounds.Token(a.remaining()))
 		ok := lines.Scan()
 		x.rest()
-		if !ok {
+		if !ok || ctx.Err() != nil {
 			return a.readEnded(x, lines.Err(), a.result.Tokens > before)
 		}
 		line := bytes.TrimSpace(lines.Bytes())
@@ -47,6 +50,15 @@
 	}
 }
 
+// wholeLine is a bufio.SplitFunc of lines that leaves out a last line without
+// its newline.
+func wholeLine(data []byte, _ bool) (int, []byte, error) {
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return i + 1, data[:i], nil
+	}
+	return 0, nil, nil
+}
+
 // readEnded classifies the end of a connection before the end marker. A
 // connection that brought the header but no token yet may be waiting for a long
 // prefill or a slow engine: the engine is then only asked again, without end
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -20,6 +20,7 @@
 	ctx    context.Context
 	detach func() bool // stops following the caller's context
 	timer  *time.Timer
+	began  time.Time
 	resp   *http.Response
 
 	mu    sync.Mutex
@@ -36,7 +37,7 @@
 // bound. The exchange ends with ctx. On an error the caller calls written and
 // abandon.
 func startExchange(ctx context.Context, p *peer, req *http.Request, fresh bool, bound time.Duration) (*exchange, error) {
-	x := &exchange{peer: p}
+	x := &exchange{peer: p, began: time.Now()}
 	x.ctx, x.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
 	x.detach = context.AfterFunc(ctx, func() { x.cancel(context.Cause(ctx)) })
 	x.timer = time.AfterFunc(bound, func() { x.cancel(errSilent) })
@@ -92,14 +93,17 @@
 }
 
 // suspect closes the peer's connections that may have gone silent with this one.
-func (x *exchange) suspect() int {
+func (x *exchange) suspect() int { return x.peer.suspect(x.quiet()) }
+
+// quiet is how long the exchange has made no progress.
+func (x *exchange) quiet() time.Duration {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	closed := 0
+	quiet := time.Since(x.began)
 	for _, c := range x.conns {
-		closed += x.peer.suspect(c.conn)
+		quiet = min(quiet, c.quiet())
 	}
-	return closed
+	return quiet
 }
 
 // finish lets the connection be used again when the answer ends at once, and
--- /dev/null
+++ b/internal/engine/export_test.go
@@ -0,0 +1,16 @@
+package engine
+
+import (
+	"io"
+
+	"github.com/plantainrun/plantainrun/internal/engineapi"
+)
+
+// RequestBody gives tests the body of a request and its announced length.
+func RequestBody(req engineapi.GenerateRequest) (io.Reader, int64, error) {
+	b, err := newPromptBody(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	return b.reader(), b.size, nil
+}
--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -102,7 +102,7 @@
 	for {
 		x, err := a.open(ctx)
 		if err == nil {
-			err = a.consume(x)
+			err = a.consume(ctx, x)
 		}
 		if err == nil {
 			return nil
@@ -135,7 +135,7 @@
 	case f == faultUnknown && (a.confirmed || a.resubmitted):
 		return a.fail(KindLost, f)
 	case f == faultUnknown:
-		a.resubmit = true
+		a.resubmit, a.faults = true, 1
 		a.client.resubmits.Add(1)
 	case f.contradicts() && (a.faults > maxFaults || a.wrong > maxContradictions):
 		return a.fail(KindIncomplete, f)
--- a/internal/engine/peer.go
+++ b/internal/engine/peer.go
@@ -85,26 +85,26 @@
 	return len(p.conns)
 }
 
-// suspect closes the connections that may have gone silent together with
-// silent: idle ones, and those that have received nothing since it last did.
-// It returns how many it closed.
-func (p *peer) suspect(silent *conn) int {
+// suspect closes the connections that may have gone silent together with one
+// that was silent for d: idle ones, and those that have received nothing for at
+// least half as long. A stream that was moved for nothing only resumes. It
+// returns how many it closed.
+func (p *peer) suspect(d time.Duration) int {
 	p.pooled.CloseIdleConnections()
-	closed := 0
-	for _, c := range p.quietSince(silent) {
+	quiet := p.quietFor(d / 2)
+	for _, c := range quiet {
 		c.seal()
-		closed++
 	}
-	return closed
+	return len(quiet)
 }
 
-func (p *peer) quietSince(silent *conn) []*conn {
-	last := silent.lastRead.Load()
+// quietFor lists the connections that have received nothing for d.
+func (p *peer) quietFor(d time.Duration) []*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var quiet []*conn
 	for c := range p.conns {
-		if c != silent && c.lastRead.Load() <= last {
+		if c.quiet() >= d {
 			quiet = append(quiet, c)
 		}
 	}
@@ -130,6 +130,9 @@
 
 func (c *conn) progressed() { c.lastRead.Store(time.Now().UnixNano()) }
 
+// quiet is how long the connection has received nothing.
+func (c *conn) quiet() time.Duration { return time.Duration(time.Now().UnixNano() - c.lastRead.Load()) }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
