--- /dev/null
+++ b/internal/server/limits.go
@@ -0,0 +1,123 @@
+package server
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/coord/share"
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/rules"
+)
+
+const (
+	limitRetry   = 2 * time.Second
+	loanTerm     = 2 * time.Second
+	lendersAsked = 8 // hosts asked at once
+)
+
+// limits holds this host's share of the organisations' token limits. It is
+// safe for concurrent use and implements completion.Limiter.
+type limits struct {
+	self identity.Incarnation
+	clk  clock.Clock
+
+	mu       sync.RWMutex
+	limiters map[string]*share.Limiter // by organisation
+}
+
+func newLimits(self identity.Incarnation, clk clock.Clock) *limits {
+	return &limits{self: self, clk: clk, limiters: make(map[string]*share.Limiter)}
+}
+
+// set takes the rules in force and the hosts that share the limits.
+func (l *limits) set(book *rules.Book, hosts []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clk.Now()
+	known := l.limiters
+	l.limiters = make(map[string]*share.Limiter)
+	for _, set := range ruleSets(book) {
+		for _, org := range set.Organisations {
+			if org.TokensPerSecond == 0 {
+				continue
+			}
+			limiter := known[org.Name]
+			if limiter == nil {
+				limiter = share.NewLimiter(share.Config{Self: l.self.String()}, org.Name, now)
+			}
+			limiter.Set(now, org.TokensPerSecond, org.BurstTokens, max(len(hosts), 1))
+			l.limiters[org.Name] = limiter
+		}
+	}
+}
+
+// Take takes tokens of the organisation's limit or refuses with when to come back.
+func (l *limits) Take(org rules.Organisation, tokens int) error {
+	limiter := l.limiter(org.Name)
+	if limiter == nil {
+		return nil
+	}
+	ok, wait := limiter.Allow(l.clk.Now(), tokens)
+	if ok {
+		return nil
+	}
+	if wait == 0 {
+		wait = limitRetry
+	}
+	return apierror.NotRun(apierror.KindLimitExceeded, "come back later, or ask your partner for a higher limit",
+		"the limit of %s of %.0f tokens a second is used up here", org.Name, org.TokensPerSecond).After(wait)
+}
+
+// borrow asks hosts for loans of the shares that run short here, and renews
+// those that end soon.
+func (l *limits) borrow(hosts []string, ask func(host string, a share.Ask)) {
+	others := slices.DeleteFunc(slices.Clone(hosts), func(id string) bool { return id == l.self.Host })
+	if len(others) == 0 {
+		return
+	}
+	now := l.clk.Now()
+	for _, limiter := range l.all() {
+		wants := limiter.Wants(now)
+		if wants <= 0 {
+			continue
+		}
+		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		asked := others[:min(len(others), lendersAsked)]
+		for _, host := range asked {
+			ask(host, limiter.Ask(now, wants/float64(len(asked)), loanTerm))
+		}
+	}
+}
+
+func (l *limits) all() []*share.Limiter {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return slices.Collect(maps.Values(l.limiters))
+}
+
+func (l *limits) limiter(organisation string) *share.Limiter {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.limiters[organisation]
+}
+
+// lend answers a peer's ask.
+func (l *limits) lend(ask share.Ask) (share.Loan, bool) {
+	limiter := l.limiter(ask.Key)
+	if limiter == nil {
+		return share.Loan{}, false
+	}
+	return limiter.Lend(l.clk.Now(), ask)
+}
+
+// accept takes a loan.
+func (l *limits) accept(loan share.Loan) {
+	if limiter := l.limiter(loan.Key); limiter != nil {
+		limiter.Accept(l.clk.Now(), loan)
+	}
+}
