Tell an engine's death from silence, and give up sooner where nothing connects

An engine that went silent and one whose process ended were the same to the caller, who would suspect prompts of crashing targets during a partition. The error now says Died when a connection was refused or a stream was forgotten. Three connections in a row that cannot be opened end the attempt; five waits of an eighth of the time limit each left little time for another engine.

The stand-in refuses connections while it is down, like a process that has ended, and takes the same address again. PrefixBlockBytes becomes 4096, the block by which hosts already hash prompts.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -94,6 +94,7 @@
 	if p == nil {
 		p = c.addPeer(addr)
 	}
+	p.used.Store(time.Now().UnixNano())
 	return p
 }
 
@@ -112,7 +113,7 @@
 		c.prunePeers(time.Now())
 	}
 	p := newPeer(addr, c.dial)
-	p.used = time.Now()
+	p.used.Store(time.Now().UnixNano())
 	c.peers[addr] = p
 	return p
 }
@@ -120,7 +121,7 @@
 // prunePeers forgets peers that were not asked for lately. The caller holds mu.
 func (c *Client) prunePeers(now time.Time) {
 	for addr, p := range c.peers {
-		if now.Sub(p.used) > peerLifetime && p.open() == 0 {
+		if now.Sub(time.Unix(0, p.used.Load())) > peerLifetime && p.open() == 0 {
 			delete(c.peers, addr)
 		}
 	}
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -44,7 +44,11 @@
 	Target  string // id of the engine
 	Reason  string // of a refusal; see engineapi.Refusal
 	Detail  string
-	Cause   error
+	// Died is set when the engine's process has ended: it refused a connection
+	// after it had taken the prompt, or no longer knew a stream that it held.
+	// Silence does not show it.
+	Died  bool
+	Cause error
 }
 
 // Error returns the message and the remedy.
@@ -91,6 +95,8 @@
 const (
 	faultSilent    fault = "connection made no progress within its bound"
 	faultClosed    fault = "connection was lost"
+	faultNoConn    fault = "no connection could be opened"
+	faultRefused   fault = "connection was refused"
 	faultTruncated fault = "answer ended without its end marker"
 	faultCrossed   fault = "answer belongs to another request"
 	faultDuplicate fault = "token came twice or late"
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -81,6 +81,13 @@
 	return left
 }
 
+// connected reports whether the exchange was given a connection.
+func (x *exchange) connected() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.conns) > 0
+}
+
 // abandon ends the exchange and its connection.
 func (x *exchange) abandon() {
 	x.detach()
--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -27,6 +27,8 @@
 const (
 	// maxFaults bounds the connections in a row that break without a new token.
 	maxFaults = 4
+	// maxDials bounds the connections in a row that could not be opened.
+	maxDials = 2
 	// maxContradictions bounds the wrong answers within one attempt.
 	maxContradictions = 8
 	firstPause        = 20 * time.Millisecond
@@ -89,6 +91,7 @@
 	resubmit    bool // the prompt goes again, since the engine did not know the stream
 	resubmitted bool // it went again
 	faults      int  // broken connections since the last token
+	dials       int  // connections in a row that could not be opened
 	wrong       int  // contradictions
 }
 
@@ -133,14 +136,14 @@
 	}
 	switch {
 	case f == faultUnknown && (a.confirmed || a.resubmitted):
-		return a.fail(KindLost, f)
+		return a.lost(f, a.confirmed)
 	case f == faultUnknown:
 		a.resubmit, a.faults = true, 1
 		a.client.resubmits.Add(1)
 	case f.contradicts() && (a.faults > maxFaults || a.wrong > maxContradictions):
 		return a.fail(KindIncomplete, f)
-	case a.faults > maxFaults:
-		return a.fail(KindLost, f)
+	case a.faults > maxFaults || a.dials > maxDials:
+		return a.lost(f, f == faultRefused)
 	}
 	return nil
 }
@@ -150,6 +153,13 @@
 	return &Error{Kind: kind, Outcome: a.lostOutcome(), Target: a.target.ID, Cause: cause}
 }
 
+// lost is the error of an engine that went away, died or not.
+func (a *attempt) lost(cause error, died bool) *Error {
+	failed := a.fail(KindLost, cause)
+	failed.Died = died
+	return failed
+}
+
 func (a *attempt) lostOutcome() outcome.Outcome {
 	if a.sent {
 		return outcome.Unknown
--- a/internal/engine/open.go
+++ b/internal/engine/open.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/plantainrun/plantainrun/coord/outcome"
@@ -78,6 +79,7 @@
 	if err != nil {
 		return nil, a.broken(ctx, x, err)
 	}
+	a.dials = 0
 	a.result.Leaving = a.result.Leaving || leaving(x.resp.Header, engineapi.HeaderLeaving)
 	if x.resp.Header.Get(engineapi.HeaderRequestID) != a.id {
 		a.sent = true
@@ -93,16 +95,28 @@
 	if x.written() {
 		a.sent = true
 	}
-	if ctx.Err() == nil && x.silent() {
+	silent := ctx.Err() == nil && x.silent()
+	if silent {
 		a.noteSilent(x)
-		if a.sent {
-			return faultSilent
-		}
 	}
-	if a.sent || ctx.Err() != nil {
+	switch {
+	case !a.sent && ctx.Err() == nil:
+		return &Error{Kind: KindUnreachable, Outcome: outcome.NotRun, Target: a.target.ID, Cause: err}
+	case !x.connected():
+		a.dials++
+		return dialFault(err)
+	case silent:
+		return faultSilent
+	default:
 		return faultClosed
 	}
-	return &Error{Kind: KindUnreachable, Outcome: outcome.NotRun, Target: a.target.ID, Cause: err}
+}
+
+func dialFault(err error) fault {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return faultRefused
+	}
+	return faultNoConn
 }
 
 func (a *attempt) noteSilent(x *exchange) {
--- a/internal/engine/peer.go
+++ b/internal/engine/peer.go
@@ -27,7 +27,7 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	used  time.Time
+	used  atomic.Int64 // Unix time in nanoseconds
 }
 
 func newPeer(addr string, dial DialFunc) *peer {
--- a/internal/engine/scripted_test.go
+++ b/internal/engine/scripted_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -217,3 +219,32 @@
 		gomega.NewWithT(t).Expect(playScripts([]script{lost, forgotten, refused})).To(gomega.BeEmpty())
 	})
 }
+
+// An engine that can no longer be reached is given up after three connections
+// that could not be opened, and is not taken for dead.
+func TestEngineThatCannotBeReachedIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := &fake{scripts: []script{{Status: http.StatusOK, Echo: true, Lines: []line{{Kind: "token"}}, Cut: 1 << 20}}, ends: make(map[int]bool)}
+		p := newPipes()
+		server := &http.Server{Handler: f}
+		go func() { _ = server.Serve(p) }()
+		defer server.Close()
+		dials := 0
+		c := engine.New(engine.Options{Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if dials++; dials == 1 {
+				return p.dial(ctx, network, addr)
+			}
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}})
+		defer c.Close()
+		target := topology.Target{ID: "fake", Addr: netip.MustParseAddrPort("127.0.0.1:1")}
+		_, result, err := collect(c, target, request(scriptID, scriptPrompt, 100))
+		var failed *engine.Error
+		g.Expect(errors.As(err, &failed)).To(gomega.BeTrue())
+		g.Expect(failed.Kind).To(gomega.Equal(engine.KindLost))
+		g.Expect(failed.Died).To(gomega.BeFalse())
+		g.Expect(result.Resumes).To(gomega.Equal(3))
+	})
+}
--- a/internal/engine/standin_test.go
+++ b/internal/engine/standin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"strings"
 	"testing"
@@ -68,8 +69,8 @@
 
 func TestWholeAnswerOverLoopback(t *testing.T) {
 	g := gomega.NewWithT(t)
-	_, target := startEngine(t, quickSettings())
 	c := newClient(t)
+	_, target := startEngine(t, quickSettings())
 	prompt := "Which glue for oak? \"quoted\"\n\tand \\ and \x01 and æøå 北海道" + strings.Repeat("x", 10_000)
 	text, result, err := collect(c, target, request("r1", prompt, 20))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -80,8 +81,8 @@
 
 // Each fault is mended on a new connection, and the sink sees each token once.
 func TestSpoiltAnswersAreMended(t *testing.T) {
-	e, target := startEngine(t, quickSettings())
 	c := newClient(t)
+	e, target := startEngine(t, quickSettings())
 	kinds := []standin.FaultKind{
 		standin.FaultCut, standin.FaultShort, standin.FaultWrongCount, standin.FaultCrossed,
 		standin.FaultDuplicate, standin.FaultSkip, standin.FaultLate,
@@ -101,8 +102,8 @@
 // An answer that stays wrong is an error and never a short success.
 func TestAnswerThatStaysWrongIsIncomplete(t *testing.T) {
 	g := gomega.NewWithT(t)
-	e, target := startEngine(t, quickSettings())
 	c := newClient(t)
+	e, target := startEngine(t, quickSettings())
 	var faults []standin.Fault
 	for range 20 {
 		faults = append(faults, standin.Fault{Kind: standin.FaultWrongCount})
@@ -115,8 +116,8 @@
 
 func TestRefusalsAreNotRun(t *testing.T) {
 	g := gomega.NewWithT(t)
-	e, target := startEngine(t, quickSettings())
 	c := newClient(t)
+	e, target := startEngine(t, quickSettings())
 	refusal := func(req engineapi.GenerateRequest) string {
 		_, result, err := collect(c, target, req)
 		var failed *engine.Error
@@ -141,11 +142,33 @@
 // A sink that gives up gets the engine's memory back.
 func TestStreamIsCancelledWhenTheSinkGivesUp(t *testing.T) {
 	g := gomega.NewWithT(t)
-	e, target := startEngine(t, quickSettings())
 	c := newClient(t)
+	e, target := startEngine(t, quickSettings())
 	_, err := c.Generate(t.Context(), target, request("r1", "prompt", 50_000), func(engineapi.Chunk) error { return context.Canceled })
 	g.Expect(err).To(gomega.MatchError(&engine.Error{Kind: engine.KindSink}))
 	g.Expect(c.Canceller().Drain(t.Context())).To(gomega.Succeed())
 	g.Expect(e.Used()).To(gomega.BeZero())
 	g.Expect(c.Stats().Cancels.Acknowledged).To(gomega.Equal(uint64(1)))
 }
+
+// A process that ends is told from a connection that went silent.
+func TestDeathIsToldFromSilence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newClient(t)
+	e, target := startEngine(t, quickSettings())
+	ends := func(id string, restart time.Duration) *engine.Error {
+		_, err := c.Generate(t.Context(), target, request(id, "prompt", 50_000), func(chunk engineapi.Chunk) error {
+			if chunk.Offset == 3 {
+				go e.Control(standin.Control{Crash: &standin.Crash{RestartMS: restart.Milliseconds()}})
+			}
+			return nil
+		})
+		var failed *engine.Error
+		g.Expect(errors.As(err, &failed)).To(gomega.BeTrue())
+		g.Expect(failed.Kind).To(gomega.Equal(engine.KindLost))
+		g.Expect(failed.Outcome).To(gomega.Equal(outcome.Unknown))
+		return failed
+	}
+	g.Expect(ends("forgotten", 0).Died).To(gomega.BeTrue())
+	g.Expect(ends("refused", time.Hour).Died).To(gomega.BeTrue())
+}
--- a/internal/engineapi/prefix.go
+++ b/internal/engineapi/prefix.go
@@ -3,7 +3,7 @@
 import "github.com/cespare/xxhash/v2"
 
 // PrefixBlockBytes is the length of the prompt blocks that engines cache.
-const PrefixBlockBytes = 2048
+const PrefixBlockBytes = 4096
 
 // PrefixHashes returns the hashes by which engines name a prompt's leading
 // whole blocks, shortest first: entry i is the xxHash64 of the first
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -154,20 +154,20 @@
 	e.counts.Crashes++
 	e.mu.Unlock()
 	if e.listener != nil {
+		e.listener.down()
 		e.listener.closeAll()
 	}
 	e.loops.Add(1)
 	go e.restart(restartAfter)
 }
 
+// restart brings the engine back after a while, on the same address.
 func (e *Engine) restart(after time.Duration) {
+	const listenPause = 10 * time.Millisecond
 	defer e.loops.Done()
-	timer := time.NewTimer(after)
-	defer timer.Stop()
-	select {
-	case <-e.ctx.Done():
-		return
-	case <-timer.C:
+	pauseFor(e.ctx, after)
+	for e.ctx.Err() == nil && e.listener != nil && !e.listener.listenAgain() {
+		pauseFor(e.ctx, listenPause)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/engine/listener.go
+++ b/internal/standin/engine/listener.go
@@ -5,22 +5,100 @@
 	"sync"
 )
 
-// listener keeps its connections so that they can be silenced or closed.
+// listener keeps its connections so that they can be silenced or closed. While
+// it is down it refuses connections, if it listens on TCP.
 type listener struct {
-	net.Listener
+	addr net.Addr
 
 	mu     sync.Mutex
+	inner  net.Listener
+	up     chan struct{} // closed while it listens
+	closed bool
 	conns  map[*conn]struct{}
 	nextAt *int64 // the next connection goes silent after so many bytes
 }
 
 func newListener(inner net.Listener) *listener {
-	return &listener{Listener: inner, conns: make(map[*conn]struct{})}
+	l := &listener{addr: inner.Addr(), inner: inner, up: make(chan struct{}), conns: make(map[*conn]struct{})}
+	close(l.up)
+	return l
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return l.addr }
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	l.setUp()
+	return l.inner.Close()
+}
+
+// down stops listening until listenAgain.
+func (l *listener) down() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.inner.(*net.TCPListener); !ok || !l.isUp() {
+		return
+	}
+	l.up = make(chan struct{})
+	_ = l.inner.Close()
+}
+
+// listenAgain listens on the same address as before. It reports false when the
+// address cannot be had yet.
+func (l *listener) listenAgain() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isUp() || l.closed {
+		return true
+	}
+	inner, err := net.Listen(l.addr.Network(), l.addr.String())
+	if err != nil {
+		return false
+	}
+	l.inner = inner
+	l.setUp()
+	return true
+}
+
+func (l *listener) isUp() bool {
+	select {
+	case <-l.up:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *listener) setUp() {
+	if !l.isUp() {
+		close(l.up)
+	}
+}
+
+// accept takes a connection, and waits while the listener is down.
+func (l *listener) accept() (net.Conn, error) {
+	for {
+		l.mu.Lock()
+		inner, up := l.inner, l.up
+		l.mu.Unlock()
+		<-up
+		c, err := inner.Accept()
+		l.mu.Lock()
+		same := l.inner == inner && l.isUp() || l.closed
+		l.mu.Unlock()
+		if err == nil || same {
+			return c, err
+		}
+	}
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
+	inner, err := l.accept()
 	if err != nil {
 		return nil, err
 	}
