--- /dev/null
+++ b/internal/knowledge/meshlinks_test.go
@@ -0,0 +1,72 @@
+package knowledge_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/internal/knowledge"
+	"github.com/plantainrun/plantainrun/internal/mesh"
+	"github.com/plantainrun/plantainrun/internal/platform"
+	standin "github.com/plantainrun/plantainrun/internal/standin/platform"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+// Over real links, a host whose service is down learns all from its peer, and
+// hears of a change.
+func TestAHostLearnsOverTheMesh(t *testing.T) {
+	g := gomega.NewWithT(t)
+	up, down := standin.New(), standin.New()
+	down.SetFaults(standin.Faults{Down: true})
+	hosts := make([]topology.Host, 0, 2)
+	meshes := make([]*mesh.Mesh, 0, 2)
+	for _, id := range []string{"a", "b"} {
+		m, err := mesh.New(mesh.Config{
+			Self: identity.Incarnation{Host: id, Start: 1}, Domain: "sapporo", Partner: "kushiro",
+			Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(m.Start(t.Context())).To(gomega.Succeed())
+		t.Cleanup(m.Close)
+		meshes = append(meshes, m)
+		hosts = append(hosts, topology.Host{ID: id, Partner: "kushiro", Domain: "sapporo", State: topology.StateLive, PeerAddr: m.Addr()})
+	}
+	publish := func(key string, body []byte) {
+		_, err := up.Publish(key, body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	publish(platform.KeyHosts, marshal(topology.HostList{Hosts: hosts}))
+	publish(platform.KeyTargets, someTargets)
+	publish(platform.RulesKey("kushiro"), rulesFile("kushiro", 1))
+
+	known := make([]*knowledge.Knowledge, 0, 2)
+	for i, source := range []knowledge.Source{up, down} {
+		links := knowledge.NewMeshLinks(meshes[i], hosts) // seeds
+		k, err := knowledge.New(knowledge.Config{
+			Host: hosts[i].ID, Domain: "sapporo", Partners: []string{"kushiro", "aarhus"},
+			Source: source, Links: links, StartSpread: time.Millisecond, StartWait: 3 * time.Second,
+		})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		links.Serve(k)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = k.Run(ctx)
+		}()
+		t.Cleanup(func() { cancel(); <-done })
+		known = append(known, k)
+	}
+	limit := func(i int) func() time.Duration {
+		return func() time.Duration { return known[i].Snapshot().Rules.LimitFor("kushiro", "short") }
+	}
+	g.Eventually(limit(1), time.Minute, 10*time.Millisecond).Should(gomega.Equal(time.Second))
+	publish(platform.RulesKey("kushiro"), rulesFile("kushiro", 2))
+	g.Eventually(limit(1), time.Minute, 10*time.Millisecond).Should(gomega.Equal(2 * time.Second))
+	g.Eventually(func() bool { return known[0].Ready().Ready && known[1].Ready().Ready }, time.Minute, 10*time.Millisecond).Should(gomega.BeTrue())
+	g.Expect(known[1].Ready().Reason).To(gomega.ContainSubstring("configuration service did not answer"))
+}
