--- /dev/null
+++ b/internal/server/poll.go
@@ -0,0 +1,176 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/internal/engine"
+	"github.com/plantainrun/plantainrun/internal/schedule"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+// Bounds of asking engines for their load.
+const (
+	pollInterval  = 500 * time.Millisecond // between two reports of one engine, at least
+	pollsPerSec   = 12                     // over all engines
+	pollTimeout   = 2 * time.Second
+	eventsEvery   = 4 // polls between two reads of cache events
+	downAfterMiss = 3 // polls without an answer
+)
+
+// targetObserver is told what a target reported of itself, and when its
+// process was seen to have ended.
+type targetObserver interface {
+	reported(target, incarnation string, at time.Time, leaving bool)
+	died(target, incarnation string)
+}
+
+// poller asks engines for their load and cache events. The rate over all
+// engines is bounded, so that it does not grow with their number.
+type poller struct {
+	client    *engine.Client
+	scheduler *schedule.Local
+	observer  targetObserver
+	clk       clock.Clock
+
+	mu      sync.Mutex
+	polled  map[string]*polled
+	targets []topology.Target
+}
+
+// polled is what the poller remembers of one engine.
+type polled struct {
+	busy        bool
+	misses      int
+	rounds      int
+	incarnation string
+	nextEvent   uint64
+}
+
+func newPoller(client *engine.Client, scheduler *schedule.Local, observer targetObserver, clk clock.Clock) *poller {
+	return &poller{client: client, scheduler: scheduler, observer: observer, clk: clk, polled: make(map[string]*polled)}
+}
+
+// incarnation is the target's process as it was last reported.
+func (p *poller) incarnation(target string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state := p.polled[target]; state != nil {
+		return state.incarnation
+	}
+	return ""
+}
+
+func (p *poller) set(targets []topology.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.targets = targets
+	known := p.polled
+	p.polled = make(map[string]*polled, len(targets))
+	for _, t := range targets {
+		if was, ok := known[t.ID]; ok {
+			p.polled[t.ID] = was
+		} else {
+			p.polled[t.ID] = &polled{}
+		}
+	}
+}
+
+// run polls one engine after the other until ctx ends.
+func (p *poller) run(ctx context.Context) {
+	for next := 0; ctx.Err() == nil; next++ {
+		target, pause, ok := p.turn(next)
+		if ok {
+			go p.poll(ctx, target)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// turn returns the engine whose turn it is, if it is not still being asked,
+// and the pause until the next one's.
+func (p *poller) turn(next int) (topology.Target, time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.targets) == 0 {
+		return topology.Target{}, pollInterval, false
+	}
+	pause := max(pollInterval/time.Duration(len(p.targets)), time.Second/pollsPerSec)
+	target := p.targets[next%len(p.targets)]
+	state := p.polled[target.ID]
+	if state.busy {
+		return target, pause, false
+	}
+	state.busy = true
+	return target, pause, true
+}
+
+func (p *poller) poll(ctx context.Context, target topology.Target) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	report, err := p.client.Load(ctx, target)
+	now := p.clk.Now()
+	if err != nil {
+		if p.missed(target.ID) {
+			p.scheduler.TargetDown(now, target.ID, "")
+		}
+		return
+	}
+	before, wantEvents, after := p.heard(target.ID, report.Incarnation)
+	if before != "" && before != report.Incarnation {
+		p.observer.died(target.ID, before)
+	}
+	p.observer.reported(target.ID, report.Incarnation, time.UnixMilli(report.ObservedMS), report.Leaving)
+	p.scheduler.Report(now, target.ID, report)
+	if wantEvents {
+		p.events(ctx, target, after)
+	}
+}
+
+// missed counts a poll without an answer and reports whether the target is to
+// be taken for down now.
+func (p *poller) missed(target string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.polled[target]
+	if state == nil {
+		return false
+	}
+	state.busy = false
+	state.misses++
+	return state.misses == downAfterMiss
+}
+
+// heard counts an answer. It returns the incarnation before, and from where
+// cache events are wanted now.
+func (p *poller) heard(target, incarnation string) (before string, wantEvents bool, after uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.polled[target]
+	if state == nil {
+		return "", false, 0
+	}
+	before, state.incarnation = state.incarnation, incarnation
+	state.busy = false
+	state.misses = 0
+	state.rounds++
+	return before, state.rounds%eventsEvery == 1, state.nextEvent
+}
+
+func (p *poller) events(ctx context.Context, target topology.Target, after uint64) {
+	events, err := p.client.CacheEvents(ctx, target, after)
+	if err != nil {
+		return
+	}
+	p.scheduler.CacheEvents(target.ID, events)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state := p.polled[target.ID]; state != nil {
+		state.nextEvent = events.Next
+	}
+}
