--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -3,7 +3,6 @@
 package audit
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -136,23 +135,3 @@
 		return strings.Contains(strings.ToLower(name), strings.ToLower(who))
 	})
 }
-
-// String returns the entry in lines for an operator to read.
-func (e Entry) String() string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "%s  %s  revision %d -> %d  %s  from %s: %s", e.Time.Format(time.RFC3339Nano), e.Subject, e.From, e.To, e.Verdict, e.Source, e.Summary)
-	if len(e.Who) > 0 {
-		fmt.Fprintf(&b, "; asked for by %s", strings.Join(e.Who, ", "))
-	}
-	for _, c := range e.Changes {
-		sign := "+"
-		if c.Removed {
-			sign = "-"
-		}
-		fmt.Fprintf(&b, "\n    %s line %d: %s # %s: %s", sign, c.Line, c.Rule, c.Who, c.Why)
-	}
-	for _, r := range e.Reasons {
-		fmt.Fprintf(&b, "\n    line %d: %s; %s", r.Line, r.Message, r.Remedy)
-	}
-	return b.String()
-}
