--- /dev/null
+++ b/coord/ledger/fuzz_test.go
@@ -0,0 +1,253 @@
+package ledger_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/coord/ledger"
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/coord/ticket"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1000")
+}
+
+const (
+	lifetime  = 10 * time.Second
+	retention = 20 * time.Second
+	maxAnswer = 100
+)
+
+// issued is the oracle's view of one ticket.
+type issued struct {
+	text   string
+	key    ledger.Key
+	state  ledger.State
+	digest *ledger.Digest
+	record ledger.Record
+}
+
+// machine drives a ledger next to its oracle.
+type machine struct {
+	g       *gomega.WithT
+	clk     *clock.Manual
+	cfg     ledger.Config
+	issuer  *ticket.Issuer
+	ledger  *ledger.Ledger
+	tickets []*issued
+	closed  *ledger.Closed
+	at      time.Time // of the freeze
+	frozen  []issued  // the tickets then
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{g: gomega.NewWithT(t), clk: clock.NewManual(time.Unix(1_000_000, 0))}
+	m.cfg = ledger.Config{
+		MaxEntries:     rapid.IntRange(1, 12).Draw(t, "max entries"),
+		MaxBytes:       rapid.IntRange(1, 8).Draw(t, "max answers") * (ledger.EntryOverheadBytes + maxAnswer),
+		MaxAnswerBytes: maxAnswer,
+		Retention:      retention,
+		Shards:         rapid.IntRange(1, 3).Draw(t, "shards"),
+	}
+	owner := identity.Incarnation{Host: "host-1", Start: 7}
+	var err error
+	m.issuer, err = ticket.NewIssuer(owner, m.clk, lifetime)
+	m.g.Expect(err).NotTo(gomega.HaveOccurred())
+	m.ledger = ledger.New(owner, m.clk, m.cfg)
+	return m
+}
+
+// remembered counts the tickets that must still be held, and their bytes.
+func (m *machine) remembered() (entries, bytes int) {
+	now := m.clk.Now()
+	for _, i := range m.tickets {
+		until := i.key.Expiry
+		if i.state == ledger.StateFinished {
+			until = until.Add(retention)
+		}
+		busy := i.state == ledger.StateClaimed || i.state == ledger.StateStarted
+		if busy || now.Before(until) {
+			entries++
+			bytes += ledger.EntryOverheadBytes + m.answerBytes(i)
+		}
+	}
+	return entries, bytes
+}
+
+func (m *machine) answerBytes(i *issued) int {
+	if i.state == ledger.StateFinished {
+		return len(i.record.Body)
+	}
+	return maxAnswer
+}
+
+func (m *machine) issue() {
+	text, tk := m.issuer.Issue()
+	key := ledger.KeyOf(tk, text)
+	err := m.ledger.Reserve(key)
+	entries, bytes := m.remembered()
+	fits := entries < m.cfg.MaxEntries && bytes+ledger.EntryOverheadBytes+maxAnswer <= m.cfg.MaxBytes
+	var full *ledger.FullError
+	switch {
+	case m.closed != nil:
+		m.g.Expect(err).To(gomega.HaveOccurred())
+		return
+	case errors.As(err, &full):
+		// Claims that outlived their expiry may keep their place a little longer.
+		m.g.Expect(fits && m.ledger.Stats().Claims == 0 && int(m.ledger.Stats().Entries) == entries).To(gomega.BeFalse(), "refused with room left")
+		return
+	}
+	m.g.Expect(err).NotTo(gomega.HaveOccurred())
+	m.g.Expect(fits).To(gomega.BeTrue(), "took a ticket beyond the bounds")
+	m.tickets = append(m.tickets, &issued{text: text, key: key, state: ledger.StateIssued})
+}
+
+// begin uses the ticket and checks the verdict against the oracle.
+func (m *machine) begin(i *issued, digest ledger.Digest) {
+	verdict, record, err := m.ledger.Begin(i.key, digest)
+	now := m.clk.Now()
+	ran := i.state == ledger.StateStarted || i.state == ledger.StateFinished
+	var mismatch *ledger.MismatchError
+	var expired *ledger.ExpiredError
+	var closed *ledger.ClosedError
+	var forgotten *ledger.ForgottenError
+	if err == nil && i.digest != nil {
+		m.g.Expect(*i.digest).To(gomega.Equal(digest), "another call was taken")
+	}
+	switch {
+	case errors.As(err, &mismatch):
+		m.g.Expect(*i.digest).NotTo(gomega.Equal(digest))
+	case errors.As(err, &expired), errors.As(err, &closed):
+		m.g.Expect(ran).To(gomega.BeFalse(), "told as never run, and it did")
+		m.g.Expect(m.closed != nil || !now.Before(i.key.Expiry)).To(gomega.BeTrue())
+	case errors.As(err, &forgotten):
+		m.g.Expect(now.Before(i.key.Expiry.Add(retention))).To(gomega.BeFalse(), "forgotten early")
+	case verdict == ledger.First:
+		m.g.Expect(i.state).To(gomega.Equal(ledger.StateIssued), "a second run")
+		m.g.Expect(m.closed).To(gomega.BeNil(), "a run after the freeze")
+		i.state, i.digest = ledger.StateClaimed, &digest
+	case verdict == ledger.Running:
+		m.g.Expect(i.state).To(gomega.BeElementOf(ledger.StateClaimed, ledger.StateStarted))
+	default:
+		m.g.Expect(i.state).To(gomega.Equal(ledger.StateFinished))
+		m.g.Expect(record.Body).To(gomega.Equal(i.record.Body))
+		m.g.Expect(record.Dropped).To(gomega.Equal(i.record.Dropped))
+	}
+}
+
+func (m *machine) start(i *issued) {
+	err := m.ledger.MarkStarted(i.key.Seq)
+	if i.state != ledger.StateClaimed && i.state != ledger.StateStarted || m.closed != nil {
+		m.g.Expect(err).To(gomega.HaveOccurred())
+		return
+	}
+	m.g.Expect(err).NotTo(gomega.HaveOccurred())
+	i.state = ledger.StateStarted
+}
+
+func (m *machine) end(i *issued, bodyBytes int) {
+	if i.state != ledger.StateClaimed && i.state != ledger.StateStarted {
+		m.g.Expect(m.ledger.Release(i.key.Seq)).NotTo(gomega.Succeed())
+		return
+	}
+	if i.state == ledger.StateClaimed || bodyBytes == 0 {
+		m.g.Expect(m.ledger.Release(i.key.Seq)).To(gomega.Succeed())
+		i.state = ledger.StateIssued
+		return
+	}
+	body := make([]byte, bodyBytes)
+	copy(body, fmt.Sprint(i.key.Seq))
+	m.g.Expect(m.ledger.Finish(i.key.Seq, ledger.Record{Outcome: outcome.Done, Status: 201, Body: body})).To(gomega.Succeed())
+	i.state = ledger.StateFinished
+	i.record = ledger.Record{Outcome: outcome.Done, Body: body}
+	if bodyBytes > maxAnswer {
+		i.record.Body, i.record.Dropped = nil, true
+	}
+}
+
+func (m *machine) freeze() {
+	if m.closed != nil {
+		return
+	}
+	data, err := m.ledger.Freeze().MarshalBinary()
+	m.g.Expect(err).NotTo(gomega.HaveOccurred())
+	m.closed, err = ledger.UnmarshalClosed(data)
+	m.g.Expect(err).NotTo(gomega.HaveOccurred())
+	m.at = m.clk.Now()
+	for _, i := range m.tickets {
+		m.frozen = append(m.frozen, *i)
+	}
+}
+
+// checkClosed compares the closed ledger with the oracle at the freeze.
+func (m *machine) checkClosed() {
+	for _, i := range m.frozen {
+		digest := ledger.Digest{}
+		if i.digest != nil {
+			digest = *i.digest
+		}
+		record, err := m.closed.Lookup(i.text, digest)
+		var never *ledger.ClosedError
+		var forgotten *ledger.ForgottenError
+		switch {
+		case errors.As(err, &forgotten):
+			m.g.Expect(m.at.Before(i.key.Expiry.Add(retention))).To(gomega.BeFalse())
+		case i.state == ledger.StateFinished:
+			m.g.Expect(err).NotTo(gomega.HaveOccurred())
+			m.g.Expect(record.Body).To(gomega.Equal(i.record.Body))
+		case i.state == ledger.StateStarted:
+			m.g.Expect(err).NotTo(gomega.HaveOccurred())
+			m.g.Expect(record.Outcome).To(gomega.Equal(outcome.Unknown))
+		default:
+			m.g.Expect(errors.As(err, &never)).To(gomega.BeTrue(), "%v", err)
+		}
+	}
+}
+
+func TestLedgerAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		m.issue()
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			m.step(t)
+			stats := m.ledger.Stats()
+			m.g.Expect(int(stats.Entries)).To(gomega.BeNumerically("<=", m.cfg.MaxEntries))
+			m.g.Expect(int(stats.Bytes)).To(gomega.BeNumerically("<=", m.cfg.MaxBytes))
+		}
+		m.freeze()
+		m.checkClosed()
+	})
+}
+
+func (m *machine) step(t *rapid.T) {
+	i := &issued{}
+	if len(m.tickets) > 0 {
+		i = m.tickets[rapid.IntRange(0, len(m.tickets)-1).Draw(t, "ticket")]
+	}
+	switch rapid.IntRange(0, 12).Draw(t, "step") {
+	case 0, 1, 2:
+		m.issue()
+	case 3, 4, 5:
+		m.begin(i, ledger.DigestOf([]byte(rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(t, "body"))))
+	case 6, 7:
+		m.start(i)
+	case 8, 9:
+		m.end(i, rapid.SampledFrom([]int{0, 1, maxAnswer, maxAnswer + 1}).Draw(t, "answer"))
+	case 10:
+		if rapid.IntRange(0, 9).Draw(t, "freeze") == 0 {
+			m.freeze()
+		}
+	default:
+		m.clk.Advance(time.Duration(rapid.IntRange(0, 8).Draw(t, "seconds")) * time.Second)
+	}
+}
--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -23,7 +23,7 @@
 // Accounted sizes, in bytes.
 const (
 	// EntryOverheadBytes is charged for each entry besides its answer.
-	EntryOverheadBytes = 512
+	EntryOverheadBytes = 384
 	fieldOverheadBytes = 32
 )
 
