--- a/internal/schedule/policy.go
+++ b/internal/schedule/policy.go
@@ -61,8 +61,8 @@
 	firstTokenGoal  = 420 * time.Millisecond
 	longPerTarget   = 1
 	closedToLong    = 0.15 // part of the targets that long prompts do not enter
-	slowdownStretch = 4.
-	urgentStretch   = 2.
+	slackPart       = 0.9
+	urgentPart      = 0.8
 )
 
 // SlackPolicy gives each request a due time for its first token, from its size
@@ -82,23 +82,22 @@
 
 // Priority is the Unix time in milliseconds at which the first token is due.
 func (p *SlackPolicy) Priority(req *Request, shape Shape) int64 {
-	due := req.Arrival.Add(dueAfter(shape))
-	latest := req.Deadline.Add(-shape.Decode)
-	if latest.Before(due) {
-		due = latest
-	}
-	return due.UnixMilli()
+	slack := req.Deadline.Sub(req.Arrival) - shape.Prefill - shape.Decode
+	return req.Arrival.Add(dueAfter(shape, max(slack, 0))).UnixMilli()
 }
 
-func dueAfter(shape Shape) time.Duration {
-	stretch := slowdownStretch
-	if shape.Objective == rules.ObjectiveFirstToken {
-		stretch = urgentStretch
-	}
+// dueAfter is how long after its arrival a request's first token is due: soon
+// for short prompts, and for others a part of their slack, so that they pass
+// newer short ones before it runs out.
+func dueAfter(shape Shape, slack time.Duration) time.Duration {
 	if shape.Class == rules.ClassShort {
-		return min(firstTokenGoal, max(leastWait, stretched(shape.Prefill, stretch)))
+		return min(firstTokenGoal, max(leastWait, stretched(shape.Prefill, 4)), slack)
+	}
+	part := slackPart
+	if shape.Objective == rules.ObjectiveFirstToken {
+		part = urgentPart
 	}
-	return max(leastWait, stretched(shape.Prefill, 1+stretch))
+	return stretched(slack, part)
 }
 
 func stretched(d time.Duration, factor float64) time.Duration {
