--- a/internal/schedule/config.go
+++ b/internal/schedule/config.go
@@ -28,8 +28,8 @@
 	Clock clock.Clock
 	// Estimator is shared with the code that turns bytes into tokens.
 	Estimator *cost.Estimator
-	// Policy decides priorities and targets; nil: NewSlackPolicy.
-	Policy Policy
+	// NewPolicy returns the policy of one model; nil: NewSlackPolicy.
+	NewPolicy func() Policy
 	// Queues bound the queues of partners and organisations.
 	Queues fairqueue.Limits
 	// SubsetSize is about how many targets a host deals with in a large failure domain.
@@ -63,8 +63,8 @@
 	if c.Estimator == nil {
 		c.Estimator = cost.NewEstimator()
 	}
-	if c.Policy == nil {
-		c.Policy = NewSlackPolicy()
+	if c.NewPolicy == nil {
+		c.NewPolicy = func() Policy { return NewSlackPolicy() }
 	}
 	if c.SubsetSize <= 0 {
 		c.SubsetSize = DefaultSubsetSize
--- a/internal/schedule/policy.go
+++ b/internal/schedule/policy.go
@@ -39,8 +39,9 @@
 	Grouped bool
 }
 
-// Policy decides the order of requests at engines and picks targets. Methods
-// are called under the lock of one model and must not block.
+// Policy decides the order of requests at engines and picks targets. Each model
+// has its own instance, whose methods are called under the model's lock and must
+// not block; Priority alone may be called at the same time as others.
 type Policy interface {
 	// Priority is the request's priority at the engine; lower runs first. Values of all
 	// hosts must be comparable.
@@ -55,29 +56,37 @@
 
 // Parameters of SlackPolicy.
 const (
-	shortWindow     = 250 * time.Millisecond // work ahead at a target before requests wait at the host
-	otherWindow     = 500 * time.Millisecond
-	leastWait       = 150 * time.Millisecond
-	firstTokenGoal  = 420 * time.Millisecond
-	longPerTarget   = 1
-	closedToLong    = 0.15 // part of the targets that long prompts do not enter
-	slackPart       = 0.9
-	urgentPart      = 0.8
+	shortWindow    = 1000 * time.Millisecond // work ahead at a target before requests wait at the host
+	otherWindow    = 500 * time.Millisecond
+	leastWait      = 150 * time.Millisecond
+	firstTokenGoal = 420 * time.Millisecond
+	longPerTarget  = 1
+	leastClosed    = 0.1 // part of the targets
+	mostClosed     = 0.5
+	closedPerShort = 1.5 // closed part over the short prompts' part of the work
+	workGain       = 0.005
+	slackPart      = 0.9
+	urgentPart     = 0.8
 )
 
-// SlackPolicy gives each request a due time for its first token, from its size
-// and its partner's objective, and lets the earliest due run first. A request
-// ages by itself, since later requests have later due times.
+// SlackPolicy gives each request a due time for its first token, from its size,
+// its time limit and its partner's objective, and lets the earliest due run
+// first. A request ages by itself, since later requests have later due times. Long
+// prompts do not enter a part of the targets that grows with the short prompts'
+// part of the work.
 type SlackPolicy struct {
-	// ClosedToLong is the part of the targets that long prompts do not enter, 0 to 1.
-	ClosedToLong float64
 	// LongPerTarget bounds long prompts in prefill at one target.
 	LongPerTarget int
+	// LeastClosed and MostClosed bound the part of the targets that is closed to
+	// long prompts, 0 to 1.
+	LeastClosed, MostClosed float64
+
+	shortPart float64 // of the work, moving average
 }
 
 // NewSlackPolicy returns the default policy.
 func NewSlackPolicy() *SlackPolicy {
-	return &SlackPolicy{ClosedToLong: closedToLong, LongPerTarget: longPerTarget}
+	return &SlackPolicy{LongPerTarget: longPerTarget, LeastClosed: leastClosed, MostClosed: mostClosed}
 }
 
 // Priority is the Unix time in milliseconds at which the first token is due.
@@ -124,6 +133,9 @@
 			best = i
 		}
 	}
+	if best >= 0 {
+		p.observe(shape)
+	}
 	return best
 }
 
@@ -132,10 +144,21 @@
 	if shape.Class != rules.ClassLong || c.Grouped {
 		return true
 	}
-	closed := int(p.ClosedToLong*float64(c.Count) + 0.5)
+	part := min(max(closedPerShort*p.shortPart, p.LeastClosed), p.MostClosed)
+	closed := int(part*float64(c.Count) + 0.5)
 	return c.Position >= min(closed, c.Count-1)
 }
 
+// observe learns the short prompts' part of the work from a request that starts.
+func (p *SlackPolicy) observe(shape Shape) {
+	gain := min(1, workGain*shape.Prefill.Seconds())
+	part := 0.
+	if shape.Class == rules.ClassShort {
+		part = 1
+	}
+	p.shortPart += gain * (part - p.shortPart)
+}
+
 // sooner prefers the earlier first token, then the smaller backlog, then the
 // larger free memory.
 func sooner(a, b *Candidate) bool {
--- a/internal/schedule/policybench/sim.go
+++ b/internal/schedule/policybench/sim.go
@@ -130,7 +130,8 @@
 	h := &host{index: i, budget: retryBurst}
 	domain := i / HostsPerDomain
 	h.local = schedule.New(schedule.Config{
-		Self: hostName(i), Domain: domainName(domain), Clock: sim.clock, Policy: sim.scenario.Policy(sim.scenario.Seed + uint64(i)),
+		Self: hostName(i), Domain: domainName(domain), Clock: sim.clock,
+		NewPolicy:  func() schedule.Policy { return sim.scenario.Policy(sim.scenario.Seed + uint64(i)) },
 		OnDispatch: func(hint schedule.PeerDispatch) { sim.tellPeers(h, hint) },
 		SendAsk:    func(peer string, ask schedule.MemoryAsk) { sim.sendAsk(h, peer, ask) },
 		SendReturn: sim.sendReturn,
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -21,6 +21,7 @@
 type pool struct {
 	cfg    *Config
 	ledger *memory.Ledger
+	policy Policy
 
 	mu      sync.Mutex
 	targets map[string]*targetState
@@ -42,7 +43,7 @@
 
 // place is where a candidate would run.
 type place struct {
-	target *targetState // the engine that computes the prompt and the answer
+	target *targetState     // the engine that computes the prompt and the answer
 	parts  []engineapi.Part // memory to reserve; nil: all of it at the target
 }
 
@@ -64,7 +65,7 @@
 
 func newPool(cfg *Config, ledger *memory.Ledger) *pool {
 	return &pool{
-		cfg: cfg, ledger: ledger,
+		cfg: cfg, ledger: ledger, policy: cfg.NewPolicy(),
 		targets: map[string]*targetState{},
 		queue:   fairqueue.New[*waiter](cfg.Queues),
 		queued:  map[rules.Class]float64{},
@@ -222,7 +223,7 @@
 	}
 	lacking := p.gather(now, w)
 	if len(p.candidates) > 0 {
-		if i := p.cfg.Policy.Choose(now, &w.req, w.shape, p.candidates); i >= 0 && p.grant(now, w, i) {
+		if i := p.policy.Choose(now, &w.req, w.shape, p.candidates); i >= 0 && p.grant(now, w, i) {
 			return true
 		}
 	}
@@ -245,7 +246,7 @@
 		c := w.route.candidate(i)
 		c.Free = p.free(now, w, t)
 		if c.Free < w.need {
-			lacking = lacking || (w.need <= t.memory && p.cfg.Policy.Enters(w.shape, &c))
+			lacking = lacking || (w.need <= t.memory && p.policy.Enters(w.shape, &c))
 			continue
 		}
 		t.estimate(now, &c, p.prefillLeft(w, t), w.priority, w.shape.Class)
