Prove at most once per ticket over several hosts, and void tickets that did not run

A ticket told as not run could run later: a copy of the call that was still under way to the owner found it unstarted again. Such a ticket is void now. 2. A closed ledger without entries had no life, so that unused tickets of a host that left gracefully ended as unknown. 3. A run ended at its caller's deadline, so that a late answer was lost and the outcome stayed unknown. The owner now waits up to its run limit and records the outcome; the caller is told at its deadline. 4.

--- a/coord/ledger/closed.go
+++ b/coord/ledger/closed.go
@@ -70,8 +70,8 @@
 	return e.Record, nil
 }
 
-// Life is how much longer the ledger has to be kept: until every ticket that
-// was valid at the freeze is past its expiry and the retention.
+// Life is how much longer the ledger has to be kept: until every ticket of the
+// owner is past its expiry and the retention.
 func (c *Closed) Life() time.Duration { return c.life }
 
 // withLife returns the same ledger with another remaining life.
--- a/coord/ledger/errors.go
+++ b/coord/ledger/errors.go
@@ -35,6 +35,15 @@
 	return fmt.Sprintf("ticket expired unused at %s and was never run; take a new one", e.Expiry.UTC().Format(time.RFC3339))
 }
 
+// VoidError says that an earlier use of the ticket was told as not run: the
+// ticket never ran and never will.
+type VoidError struct{}
+
+// Error names the remedy.
+func (*VoidError) Error() string {
+	return "ticket was used for a call that was not run, and is void; take a new one"
+}
+
 // ForgottenError says that the ticket is older than the ledger's memory, so
 // that nobody knows any more whether its call ran.
 type ForgottenError struct {
--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -3,8 +3,8 @@
 // A place, and room for the largest answer that is kept, is reserved when a
 // ticket is issued. A full ledger therefore refuses new tickets, and never
 // forgets an old one early: a ticket that ran is remembered until its expiry
-// plus the retention, and one that did not run is dropped at its expiry, when
-// it can no longer start. So the absence of an entry before expiry plus
+// plus the retention, and one that did not run, whether void or not, is dropped
+// at its expiry, when it can no longer start. So the absence of an entry before expiry plus
 // retention proves that the ticket never ran.
 //
 // A frozen ledger starts nothing any more. Its content is a Closed ledger that
@@ -64,7 +64,7 @@
 type Stats struct {
 	Entries    int64
 	Bytes      int64
-	Claims     int64 // calls between Begin and Finish or Release
+	Claims     int64 // calls between Begin and Finish, Void or Release
 	Refused    int64 // reservations refused for lack of room
 	Mismatches int64
 	Replays    int64 // answers given from the record
@@ -112,9 +112,10 @@
 }
 
 // Begin claims the ticket for one run of the call with the given digest. With
-// First the caller must end the claim by Finish or Release. With Recorded the
-// record is returned. Begin fails with *MismatchError, *ExpiredError,
-// *ForgottenError or *ClosedError. The key must have been verified.
+// First the caller must end the claim by Finish, Void or Release. With Recorded the
+// record is returned. Begin fails with *MismatchError, *VoidError,
+// *ExpiredError, *ForgottenError or *ClosedError. The key must have been
+// verified.
 func (l *Ledger) Begin(key Key, digest Digest) (Verdict, Record, error) {
 	s := l.shard(key.Seq)
 	s.mu.Lock()
@@ -131,6 +132,8 @@
 	switch e.state {
 	case StateClaimed, StateStarted:
 		return Running, Record{}, nil
+	case StateVoid:
+		return 0, Record{}, &VoidError{}
 	case StateFinished:
 		l.usage.replays.Add(1)
 		return Recorded, *e.record, nil
@@ -183,20 +186,34 @@
 	return l.end(seq, func(e *entry) { e.state = StateIssued })
 }
 
+// Void ends a claim whose call certainly did not run, and uses the ticket up.
+// Only then may a caller be told that the call was not run while an earlier
+// copy of it may still be under way to this process.
+func (l *Ledger) Void(seq uint64) error {
+	return l.end(seq, func(e *entry) {
+		l.resize(e, EntryOverheadBytes)
+		e.state = StateVoid
+	})
+}
+
 // Finish ends a claim and records how the call ended. An answer above the
 // ledger's bound is recorded without its body (see Record). Room that the
 // answer does not need is given back.
 func (l *Ledger) Finish(seq uint64, r Record) error {
 	kept := r.bounded(l.cfg.MaxAnswerBytes)
 	return l.end(seq, func(e *entry) {
-		size := EntryOverheadBytes + kept.answerBytes()
-		l.usage.bytes.Add(int64(size - e.size))
-		e.size = size
+		l.resize(e, EntryOverheadBytes+kept.answerBytes())
 		e.record = &kept
 		e.state = StateFinished
 	})
 }
 
+// resize gives back the room that an entry no longer needs.
+func (l *Ledger) resize(e *entry, size int) {
+	l.usage.bytes.Add(int64(size - e.size))
+	e.size = size
+}
+
 // end applies the last transition of a claim.
 func (l *Ledger) end(seq uint64, apply func(*entry)) error {
 	s := l.shard(seq)
--- a/coord/ledger/shard.go
+++ b/coord/ledger/shard.go
@@ -19,6 +19,7 @@
 	StateClaimed        // an attempt is being prepared; nothing was sent
 	StateStarted        // the call may have reached a target
 	StateFinished       // the outcome is recorded
+	StateVoid           // did not run, and never will
 )
 
 // String returns the state's name.
@@ -32,6 +33,8 @@
 		return "started"
 	case StateFinished:
 		return "finished"
+	case StateVoid:
+		return "void"
 	default:
 		return "absent"
 	}
@@ -71,6 +74,7 @@
 	entries map[uint64]*entry
 	due     dueHeap
 	now     time.Time // latest time ever used; never goes back
+	last    time.Time // latest expiry of any ticket
 	sealed  bool
 	frozen  bool
 }
@@ -78,6 +82,7 @@
 func (s *shard) add(key Key, size int) {
 	s.entries[key.Seq] = &entry{expiry: key.Expiry, sum: key.Sum, size: size, state: StateIssued}
 	heap.Push(&s.due, due{at: key.Expiry, seq: key.Seq})
+	s.last = later(s.last, key.Expiry)
 }
 
 // absent explains why the ledger has no entry for a genuine key.
@@ -121,10 +126,12 @@
 }
 
 // copyRan copies the entries whose call may have run, and extends the closed
-// ledger's life to the last ticket's.
+// ledger's life to the last ticket's, whether that is held or not.
 func (s *shard) copyRan(c *Closed) {
+	if !s.last.IsZero() {
+		c.life = max(c.life, s.last.Add(c.retention).Sub(s.now))
+	}
 	for seq, e := range s.entries {
-		c.life = max(c.life, e.expiry.Add(c.retention).Sub(s.now))
 		if e.ran() {
 			c.entries[seq] = closedEntry{Expiry: e.expiry, Sum: e.sum, Digest: e.digest, Record: e.recordOrUnknown()}
 		}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -4,7 +4,9 @@
 // ended; a Router on any host brings a call to its ticket's owner, or answers
 // from the owner's closed ledger. What neither can know is told as unknown,
 // never as not run: "not run" is said of a ticket only by its owner or by its
-// closed ledger.
+// closed ledger. It is said of the ticket and not of one try: the ticket is
+// void then, so that no copy of the call that is still under way can run after
+// its caller was told that it was not run.
 //
 // The package knows nothing of servers and links. Errors are *apierror.Error.
 package once
@@ -23,7 +25,8 @@
 // HeaderTicket carries the ticket to the service, and between caller and host.
 const HeaderTicket = "Idempotency-Key"
 
-// Call is one call that is not idempotent.
+// Call is one call that is not idempotent. Its Header and Body must not change
+// any more, also after Execute returned.
 type Call struct {
 	ID           string // of the caller's request, for logs and the service
 	Ticket       string // empty: the caller has none yet
--- a/internal/once/owner.go
+++ b/internal/once/owner.go
@@ -28,7 +28,7 @@
 type OwnerConfig struct {
 	Ledger         ledger.Config
 	TicketLifetime time.Duration
-	RunLimit       time.Duration // longest run of one call
+	RunLimit       time.Duration // longest wait for the outcome of one call
 	MaxAttempts    int           // per Execute; only attempts that did not run are repeated
 }
 
@@ -100,8 +100,10 @@
 }
 
 // Execute runs the call of a ticket of this owner, or returns how its first
-// run ended. A run goes on when ctx is cancelled, until the call's deadline,
-// so that its outcome is recorded; Execute returns only then.
+// run ended. Nothing is sent after the call's deadline. A call that was sent is
+// waited for beyond its deadline, up to the run limit, and when ctx ends: its
+// outcome is recorded for whoever repeats the ticket. Execute itself returns at
+// the deadline.
 func (o *Owner) Execute(ctx context.Context, call Call) (Answer, error) {
 	t, err := o.issuer.Verify(call.Ticket)
 	var expired *ticket.ExpiredError
@@ -119,18 +121,35 @@
 		return replay(record)
 	}
 	o.counts.first.Add(1)
-	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), o.deadline(call))
-	defer cancel()
-	return o.settle(key.Seq, o.run(runCtx, key.Seq, call))
+	return o.first(ctx, key.Seq, call)
 }
 
-// deadline is the call's, but not later than the owner's limit.
-func (o *Owner) deadline(call Call) time.Time {
+// first makes the ticket's run and waits for it until the call's deadline.
+func (o *Owner) first(ctx context.Context, seq uint64, call Call) (Answer, error) {
 	limit := time.Now().Add(o.cfg.RunLimit)
 	if call.Deadline.IsZero() || call.Deadline.After(limit) {
-		return limit
+		call.Deadline = limit
+	}
+	type reply struct {
+		answer Answer
+		err    error
+	}
+	done := make(chan reply, 1)
+	background := context.WithoutCancel(ctx)
+	go func() {
+		runCtx, cancel := context.WithDeadline(background, limit)
+		defer cancel()
+		answer, err := o.settle(seq, o.run(runCtx, seq, call))
+		done <- reply{answer, err}
+	}()
+	waitCtx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	select {
+	case r := <-done:
+		return r.answer, r.err
+	case <-waitCtx.Done():
+		return Answer{}, lateError()
 	}
-	return call.Deadline
 }
 
 // attempt is how a run ended. With err the call certainly did not run.
@@ -154,7 +173,7 @@
 		}
 		tried = append(tried, target.ID)
 		last = o.try(ctx, seq, n, target, call).after(last)
-		if ctx.Err() != nil || !last.result.Outcome.Retryable(call.Dedupes) {
+		if !time.Now().Before(call.Deadline) || !last.result.Outcome.Retryable(call.Dedupes) {
 			return last
 		}
 		if err := o.again(seq, last); err != nil {
@@ -226,6 +245,7 @@
 		Header:      header,
 		Body:        call.Body,
 		BeforeWrite: func() error { return o.ledger.MarkStarted(seq) },
+		SendBy:      call.Deadline,
 	}
 }
 
@@ -233,9 +253,7 @@
 func (o *Owner) settle(seq uint64, a attempt) (Answer, error) {
 	if a.err != nil {
 		o.counts.notRun.Add(1)
-		if err := o.ledger.Release(seq); err != nil {
-			return Answer{}, ticketError(err)
-		}
+		_ = o.ledger.Void(seq) // fails only if the claim is not this run's
 		return Answer{}, a.err
 	}
 	record := recordOf(a.result)
@@ -287,9 +305,9 @@
 		return ticketError(&ledger.ClosedError{})
 	}
 	if r.Reason == service.ReasonDeadline {
-		return apierror.NotRun(apierror.KindDeadline, remedySameTicket, "the time limit passed before the call was sent")
+		return apierror.NotRun(apierror.KindDeadline, remedyNewTicket, "the time limit passed before the call was sent")
 	}
-	return apierror.NotRun(apierror.KindNoTarget, remedySameTicket, "no target took the call (%s)", r.Reason).After(retryAfterUnreachable)
+	return apierror.NotRun(apierror.KindNoTarget, remedyNewTicket, "no target took the call (%s)", r.Reason).After(retryAfterUnreachable)
 }
 
 // pickError is what a caller is told when no target could be picked.
@@ -298,5 +316,5 @@
 	if errors.As(err, &e) {
 		return e
 	}
-	return apierror.NotRun(apierror.KindNoTarget, remedySameTicket, "no target can be picked: %v", err).After(retryAfterUnreachable)
+	return apierror.NotRun(apierror.KindNoTarget, remedyNewTicket, "no target can be picked: %v", err).After(retryAfterUnreachable)
 }
--- a/internal/once/replies.go
+++ b/internal/once/replies.go
@@ -54,7 +54,7 @@
 		return apierror.NotRun(apierror.KindDraining, remedyNewTicket, "the host left before the call could be sent")
 	case errors.As(err, &other):
 		return apierror.New(apierror.KindTicketUnknown, outcome.Unknown, remedySameTicket, "the call reached a host that is not the ticket's owner").After(retryAfterUnreachable)
-	default: // malformed, forged, altered or expired unused
+	default: // malformed, forged, altered, void or expired unused
 		return apierror.NotRun(apierror.KindTicketInvalid, remedyNewTicket, "%s", err.Error())
 	}
 }
@@ -63,6 +63,10 @@
 	return apierror.New(apierror.KindTicketRunning, outcome.Unknown, remedySameTicket, "the ticket's first run is still going").After(retryAfterRunning)
 }
 
+func lateError() *apierror.Error {
+	return apierror.New(apierror.KindDeadline, outcome.Unknown, remedySameTicket, "the time limit passed while the call was running").After(retryAfterRunning)
+}
+
 func unreachableError(err error) *apierror.Error {
 	return apierror.New(apierror.KindPeerUnreachable, outcome.Unknown, remedySameTicket, "the ticket's owner gave no answer: %v", err).After(retryAfterUnreachable)
 }
--- a/internal/service/gate.go
+++ b/internal/service/gate.go
@@ -6,6 +6,9 @@
 	"sync"
 )
 
+// errLate refuses a first byte after its time.
+var errLate = errors.New("the time limit passed before anything was sent")
+
 // errShut is what a write gets after its attempt was given up.
 var errShut = errors.New("the attempt was given up before anything was sent")
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -52,6 +53,9 @@
 	// BeforeWrite is called when the connection is up, before the first byte
 	// is sent, and may refuse it. Calls that are idempotent ignore it.
 	BeforeWrite func() error
+	// SendBy is when the first byte must have been sent; zero: any time. Calls
+	// that are idempotent ignore it.
+	SendBy time.Time
 }
 
 // Result is how one attempt ended.
@@ -142,8 +146,11 @@
 			return err
 		}
 	}
+	if !call.SendBy.IsZero() && !time.Now().Before(call.SendBy) {
+		return errLate
+	}
 	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
-		return context.DeadlineExceeded
+		return errLate
 	}
 	return ctx.Err()
 }
@@ -157,7 +164,7 @@
 	}
 	r.Outcome = outcome.NotRun
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(cause, errLate):
 		r.Reason = ReasonDeadline
 	case cause != nil:
 		r.Reason = ReasonHeld
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -93,6 +93,12 @@
 
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
+	late := deposit("r3")
+	late.SendBy = time.Now()
+	r = client.Do(context.Background(), addr, late)
+	g.Expect(r.Outcome).To(gomega.Equal(outcome.NotRun))
+	g.Expect(r.Reason).To(gomega.Equal(service.ReasonDeadline))
+
 	paused := deposit("r2")
 	paused.BeforeWrite = func() error { <-ctx.Done(); return nil }
 	r = client.Do(ctx, addr, paused)
--- a/internal/standin/service/answer.go
+++ b/internal/standin/service/answer.go
@@ -26,6 +26,7 @@
 		s.wait(r, time.Duration(c.DelayMS)*time.Millisecond)
 	case FaultCrossed:
 		w.Header().Set(engineapi.HeaderRequestID, "crossed")
+		receipt, _ = json.Marshal(Receipt{Path: r.URL.Path, Echo: []byte("of another request")})
 	case FaultCut:
 		s.cut(w, receipt)
 	case FaultUnframed:
