Repeat idempotent calls within a budget, and test the tickets' life

Cause: idempotent calls at plain services are retried within the time limit and the retry budgets, and what callers are told along a ticket's life had no test of its own.

Ruled out: one budget over all targets (a dead half of the targets would spend it for the live ones); the whole remaining time for the first attempt (a silent target left none, trial: 'no target answered in full (deadline)').

Conclusion: the default ledger takes 32 MB at most, half of what a host may spend.

--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -40,7 +40,7 @@
 func DefaultConfig() Config {
 	return Config{
 		MaxEntries:     50_000,
-		MaxBytes:       64 << 20,
+		MaxBytes:       32 << 20,
 		MaxAnswerBytes: 16 << 10,
 		Retention:      10 * time.Minute,
 		Shards:         32,
--- a/coord/ledger/ledger_test.go
+++ b/coord/ledger/ledger_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -96,6 +97,34 @@
 	g.Expect(idle).To(gomega.BeClosed())
 }
 
+// Of many that begin the same ticket at once, one runs it.
+func TestConcurrentBeginsClaimOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clk := clock.NewManual(time.Unix(1000, 0))
+	l := ledger.New(owner, clk, ledger.DefaultConfig())
+	const tickets, workers = 200, 8
+	var first [tickets]atomic.Int32
+	for seq := range uint64(tickets) {
+		g.Expect(l.Reserve(keyFor(seq, clk.Now().Add(time.Minute)))).To(gomega.Succeed())
+	}
+	var group sync.WaitGroup
+	for range workers {
+		group.Go(func() {
+			for seq := range uint64(tickets) {
+				verdict, _, _ := l.Begin(keyFor(seq, clk.Now().Add(time.Minute)), ledger.Digest{})
+				if verdict == ledger.First && l.MarkStarted(seq) == nil {
+					first[seq].Add(1)
+				}
+				_ = l.Stats()
+			}
+		})
+	}
+	group.Wait()
+	for seq := range first {
+		g.Expect(first[seq].Load()).To(gomega.BeEquivalentTo(1))
+	}
+}
+
 // recordedAnswer is about the size of a reservation's receipt.
 const recordedAnswer = 256
 
--- a/coord/suspect/suspect_test.go
+++ b/coord/suspect/suspect_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,6 +89,65 @@
 	g.Expect(len(tracker.Snapshot())).To(gomega.BeNumerically("<=", 16))
 }
 
+// Under load from many goroutines, with deaths in between, nothing is left
+// behind once all ended and the period passed.
+func TestConcurrentUseLeavesNothingBehind(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clk := clock.NewManual(time.Unix(0, 0))
+	cfg := suspect.DefaultConfig()
+	tracker := suspect.New(clk, cfg)
+	var group sync.WaitGroup
+	for worker := range 8 {
+		group.Go(func() {
+			for i := range 300 {
+				r, err := tracker.TryAcquire(suspect.FingerprintOf([]byte(fmt.Sprint(i % 40))))
+				if err != nil {
+					continue
+				}
+				target := fmt.Sprint("target-", i%5)
+				err = r.On(target, fmt.Sprint(i/100))
+				if err == nil && worker == 0 && i%50 == 0 {
+					tracker.TargetDied(target, fmt.Sprint(i/100))
+				}
+				r.End(err == nil && i%3 != 0)
+			}
+		})
+	}
+	group.Wait()
+	clk.Advance(2 * cfg.Period)
+	for i := range 40 {
+		r, err := tracker.TryAcquire(suspect.FingerprintOf([]byte(fmt.Sprint(i))))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(r.Alone()).To(gomega.BeFalse())
+		r.End(false)
+	}
+	g.Expect(tracker.Stats().Marked).To(gomega.BeZero())
+}
+
+func BenchmarkRun(b *testing.B) {
+	for _, shards := range []int{1, 16} {
+		b.Run(fmt.Sprint("shards=", shards), func(b *testing.B) {
+			cfg := suspect.DefaultConfig()
+			cfg.Shards = shards
+			tracker := suspect.New(clock.System{}, cfg)
+			var next atomic.Uint64
+			b.RunParallel(func(pb *testing.PB) {
+				worker := fmt.Sprint(next.Add(1))
+				fp := suspect.FingerprintOf([]byte(worker))
+				for pb.Next() {
+					r, err := tracker.TryAcquire(fp)
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					_ = r.On("target-"+worker, "a")
+					r.End(true)
+				}
+			})
+		})
+	}
+}
+
 func ExampleTracker() {
 	tracker := suspect.New(clock.System{}, suspect.DefaultConfig())
 	fp := suspect.FingerprintOf([]byte("model"), []byte("prompt"))
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -19,7 +19,7 @@
 	"github.com/plantainrun/plantainrun/coord/identity"
 	"github.com/plantainrun/plantainrun/coord/ledger"
 	"github.com/plantainrun/plantainrun/coord/outcome"
-	"github.com/plantainrun/plantainrun/internal/topology"
+	"github.com/plantainrun/plantainrun/internal/service"
 )
 
 // HeaderTicket carries the ticket to the service, and between caller and host.
@@ -56,22 +56,11 @@
 	Replayed bool // from the record, not from a run by this call
 }
 
-// Picker chooses targets from the host list.
-type Picker interface {
-	// Pick returns a target of the service that is not among exclude (ids), or
-	// an *apierror.Error. It must return only addresses on the target list.
-	Pick(ctx context.Context, service string, exclude []string) (topology.Target, error)
-	// Leaving records that the target said that it is leaving.
-	Leaving(target topology.Target)
-}
+// Picker chooses targets from the target list.
+type Picker = service.Picker
 
 // Budget bounds retries. Keys are organisations and targets.
-type Budget interface {
-	// First counts a first try.
-	First(key string)
-	// Retry reports whether a retry is allowed, and counts it if so.
-	Retry(key string) bool
-}
+type Budget = service.Budget
 
 // Forwarder brings a call to its owner on another host.
 type Forwarder interface {
--- /dev/null
+++ b/internal/once/once_test.go
@@ -0,0 +1,157 @@
+package once_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/once"
+	standin "github.com/plantainrun/plantainrun/internal/standin/service"
+)
+
+// inWorld runs the test in virtual time, with two hosts and one target.
+func inWorld(t *testing.T, test func(g *gomega.WithT, w *world, h *host)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(2, 1)
+		defer w.stop()
+		test(gomega.NewWithT(t), w, w.hosts[0])
+	})
+}
+
+func order(ticket, body string) once.Call {
+	return once.Call{ID: "r", Organisation: "school", Service: "enrolment", Method: "POST", Path: "/deposits", Ticket: ticket, Body: []byte(body)}
+}
+
+// kindOf expects an *apierror.Error and returns it.
+func kindOf(g *gomega.WithT, err error) *apierror.Error {
+	var e *apierror.Error
+	g.Expect(errors.As(err, &e)).To(gomega.BeTrue(), "%v", err)
+	g.Expect(e.Remedy).NotTo(gomega.BeEmpty())
+	return e
+}
+
+func TestTicketLife(t *testing.T) {
+	inWorld(t, func(g *gomega.WithT, w *world, h *host) {
+		ctx := context.Background()
+		_, err := h.router.Execute(ctx, order("", "one"))
+		e := kindOf(g, err)
+		g.Expect(e.Kind).To(gomega.Equal(apierror.KindTicketRequired))
+		g.Expect(e.Outcome).To(gomega.Equal(outcome.NotRun))
+		ticket := e.Ticket
+
+		first, err := h.router.Execute(ctx, order(ticket, "one"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		again, err := w.hosts[1].router.Execute(ctx, order(ticket, "one"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(again.Replayed).To(gomega.BeTrue())
+		g.Expect(again.Body).To(gomega.Equal(first.Body))
+		g.Expect(again.Status).To(gomega.Equal(201))
+		g.Expect(again.Header.Get("Content-Type")).To(gomega.Equal("application/json"))
+
+		other := order(ticket, "one")
+		other.Organisation = "another school"
+		_, err = h.router.Execute(ctx, other)
+		g.Expect(kindOf(g, err).Kind).To(gomega.Equal(apierror.KindTicketMismatch))
+		_, err = h.router.Execute(ctx, order("garbage", "one"))
+		e = kindOf(g, err)
+		g.Expect(e.Kind).To(gomega.Equal(apierror.KindTicketInvalid))
+		g.Expect(e.Ticket).NotTo(gomega.BeEmpty())
+		g.Expect(w.runs(ticket)).To(gomega.Equal(1))
+	})
+}
+
+func TestExpiredTicketNeverRuns(t *testing.T) {
+	inWorld(t, func(g *gomega.WithT, w *world, h *host) {
+		ticket, err := h.owner.NewTicket()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(ticketLifetime)
+		_, err = h.router.Execute(context.Background(), order(ticket, "one"))
+		e := kindOf(g, err)
+		g.Expect(e.Kind).To(gomega.Equal(apierror.KindTicketInvalid))
+		g.Expect(e.Outcome).To(gomega.Equal(outcome.NotRun))
+		g.Expect(w.runs(ticket)).To(gomega.BeZero())
+	})
+}
+
+func TestFullLedgerRefusesNewTicketsOnly(t *testing.T) {
+	inWorld(t, func(g *gomega.WithT, _ *world, h *host) {
+		oldest, err := h.owner.NewTicket()
+		for err == nil {
+			_, err = h.owner.NewTicket()
+		}
+		e := kindOf(g, err)
+		g.Expect(e.Kind).To(gomega.Equal(apierror.KindLedgerFull))
+		g.Expect(e.RetryAfter).To(gomega.BeNumerically(">", 0))
+		_, err = h.router.Execute(context.Background(), order(oldest, "one"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	})
+}
+
+func TestTooLargeAnswerIsRecordedWithoutItsBody(t *testing.T) {
+	inWorld(t, func(g *gomega.WithT, w *world, h *host) {
+		w.targets[0].svc.Set(standin.Control{Fault: standin.FaultLong})
+		ticket, err := h.owner.NewTicket()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		first, err := h.router.Execute(context.Background(), order(ticket, "one"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(first.Body).To(gomega.HaveLen(standin.LongBodyBytes))
+		_, err = h.router.Execute(context.Background(), order(ticket, "one"))
+		e := kindOf(g, err)
+		g.Expect(e.Kind).To(gomega.Equal(apierror.KindIncomplete))
+		g.Expect(e.Outcome).To(gomega.Equal(outcome.Done))
+	})
+}
+
+// A service that dedupes may get an unknown call again, with the same ticket.
+func TestUnknownIsRepeatedAtAServiceThatDedupes(t *testing.T) {
+	inWorld(t, func(g *gomega.WithT, w *world, h *host) {
+		w.targets = append(w.targets, newTarget("b", 2000))
+		w.targets[0].svc.Set(standin.Control{Fault: standin.FaultDrop})
+		w.targets[1].svc.Set(standin.Control{Fault: standin.FaultDrop, Times: 1})
+		ticket, err := h.owner.NewTicket()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		call := order(ticket, "one")
+		call.Dedupes = true
+		_, err = h.router.Execute(context.Background(), call)
+		g.Expect(kindOf(g, err).Kind).To(gomega.Equal(apierror.KindTargetUnknown))
+		g.Expect(w.runs(ticket)).To(gomega.Equal(2))
+
+		// Refused at the second target, the call may still have run at the first.
+		w.targets[1].svc.Set(standin.Control{Fault: standin.FaultRefuse})
+		w.picks.Store(1)
+		call.Ticket, err = h.owner.NewTicket()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = h.router.Execute(context.Background(), call)
+		g.Expect(kindOf(g, err).Outcome).To(gomega.Equal(outcome.Unknown))
+	})
+}
+
+func TestDrainedOwnerSaysWhatIsTrue(t *testing.T) {
+	inWorld(t, func(g *gomega.WithT, w *world, h *host) {
+		ctx := context.Background()
+		used, err := h.owner.NewTicket()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		unused, err := h.owner.NewTicket()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = h.router.Execute(ctx, order(used, "one"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(w.hosts[1].store.Add(h.owner.Drain(ctx))).To(gomega.Succeed())
+		_, err = h.owner.NewTicket()
+		g.Expect(kindOf(g, err).Kind).To(gomega.Equal(apierror.KindDraining))
+		for _, at := range w.hosts {
+			_, err = at.router.Execute(ctx, order(unused, "two"))
+			g.Expect(kindOf(g, err).Kind).To(gomega.Equal(apierror.KindDraining))
+			g.Expect(kindOf(g, err).Outcome).To(gomega.Equal(outcome.NotRun))
+			again, err := at.router.Execute(ctx, order(used, "one"))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(again.Replayed).To(gomega.BeTrue())
+		}
+	})
+}
--- /dev/null
+++ b/internal/service/repeat_test.go
@@ -0,0 +1,104 @@
+package service_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/plantainrun/plantainrun/coord/retry"
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/service"
+	standin "github.com/plantainrun/plantainrun/internal/standin/service"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+// inTurn picks the targets of first tries in turn.
+type inTurn struct {
+	targets []topology.Target
+	next    int
+	picks   int
+}
+
+func (p *inTurn) Pick(_ context.Context, _ string, exclude []string) (topology.Target, error) {
+	if len(exclude) == 0 {
+		p.next++
+	}
+	for i := range p.targets {
+		t := p.targets[(p.next+i)%len(p.targets)]
+		if !slices.Contains(exclude, t.ID) {
+			p.picks++
+			return t, nil
+		}
+	}
+	return topology.Target{}, apierror.NotRun(apierror.KindNoTarget, "come back later", "no target is left")
+}
+
+func (p *inTurn) Leaving(topology.Target) {}
+
+// Half of the targets are dead. The oracle of the attempts is the budget's
+// formula, and the stand-ins' own count of what ran.
+func TestRetriesUnderDeadTargetsStayWithinTheBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const calls = 400
+	p := &inTurn{}
+	var live []*standin.Service
+	for i := range 6 {
+		s, addr, stop, err := standin.Listen()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		p.targets = append(p.targets, topology.Target{ID: fmt.Sprint(i), Addr: addr})
+		if i%2 == 0 {
+			stop()
+			continue
+		}
+		t.Cleanup(stop)
+		live = append(live, s)
+	}
+	cfg := retry.Config{Ratio: 0.2, Burst: 5, MaxKeys: 64, Shards: 1}
+	budget, err := retry.New(cfg)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	client := service.New(service.DefaultConfig())
+	defer client.Close()
+	r := service.NewRepeater(client, p, budget, 3)
+
+	answered := 0
+	for i := range calls {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		_, err := r.Do(ctx, "org", "enrolment", service.Call{ID: fmt.Sprint(i), Method: "GET", Path: "/datasheets/7"})
+		cancel()
+		if err == nil {
+			answered++
+		}
+	}
+	stats := r.Stats()
+	bound := float64(cfg.Burst) + cfg.Ratio*calls
+	t.Logf("%d calls, %d answered, %d retries, bound %.0f", calls, answered, stats.Retries, bound)
+	g.Expect(float64(stats.Retries)).To(gomega.BeNumerically("<=", bound))
+	ran := 0
+	for _, s := range live {
+		ran += s.Total("/datasheets/7")
+	}
+	g.Expect(ran).To(gomega.Equal(answered))
+	g.Expect(answered).To(gomega.BeNumerically(">=", calls/2), "half of the targets live")
+}
+
+// A silent target leaves time for another one.
+func TestSilentTargetIsLeftInTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	silent, addr := start(t)
+	silent.Set(standin.Control{Fault: standin.FaultSilent})
+	_, other := start(t)
+	p := &inTurn{next: 1, targets: []topology.Target{{ID: "silent", Addr: addr}, {ID: "live", Addr: other}}}
+	budget, err := retry.New(retry.DefaultConfig())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	r := service.NewRepeater(service.New(service.DefaultConfig()), p, budget, 2)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	result, err := r.Do(ctx, "org", "enrolment", service.Call{ID: "r", Method: "GET", Path: "/datasheets/7"})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(result.Status).To(gomega.Equal(200))
+	g.Expect(p.picks).To(gomega.Equal(2))
+}
