Name the parts of coord/suspect in the field's terms

Cause: names from courts of law told a newcomer nothing; the terms are now candidates and causes of a death.

Ruled out: none. Conclusion: no change of behaviour.

--- a/coord/suspect/judge.go
+++ b/coord/suspect/assess.go
@@ -5,21 +5,21 @@
 	"time"
 )
 
-// TargetDied records that a target's process died, and charges the death to
+// TargetDied records that a target's process died, and counts the death for
 // all requests in flight there. Their Runs are ended by it.
 func (t *Tracker) TargetDied(targetID, incarnation string) {
 	d := Death{Target: targetID, Incarnation: incarnation}
 	now := t.clk.Now()
-	var charged []Charge
-	for _, r := range t.bury(d, now) {
+	var candidates []Candidate
+	for _, r := range t.recordDeath(d, now) {
 		if r.ended.CompareAndSwap(false, true) {
-			t.charge(r.fp, d, now, t.cfg.Period, 1)
-			charged = append(charged, Charge{r.fp, r.alone})
+			t.addDeath(r.fp, d, now, t.cfg.Period, 1)
+			candidates = append(candidates, Candidate{r.fp, r.alone})
 		}
 	}
-	t.flag(charged)
-	t.judgeAll(charged)
-	t.announce(Hint{Kind: HintDied, Death: d, Charged: charged, Left: t.cfg.Period})
+	t.flag(candidates)
+	t.assessAll(candidates)
+	t.announce(Hint{Kind: HintDied, Death: d, Candidates: candidates, Left: t.cfg.Period})
 }
 
 // Learn takes in what another host announced.
@@ -30,12 +30,12 @@
 	case h.Kind == HintCleared:
 		t.learnCleared(h.Fingerprint, now)
 	case h.Kind == HintDied && left > 0:
-		t.learnDeath(h.Death, h.Charged, now.Add(left-t.cfg.Period))
-		for _, c := range h.Charged {
-			t.charge(c.Fingerprint, h.Death, now, left, 0)
+		t.learnDeath(h.Death, h.Candidates, now.Add(left-t.cfg.Period))
+		for _, c := range h.Candidates {
+			t.addDeath(c.Fingerprint, h.Death, now, left, 0)
 		}
-		t.flag(h.Charged)
-		t.judgeAll(h.Charged)
+		t.flag(h.Candidates)
+		t.assessAll(h.Candidates)
 	}
 }
 
@@ -49,7 +49,7 @@
 		for _, tg := range ts.targets {
 			tg.refresh(now, t.cfg.Period)
 			for _, rec := range tg.deaths {
-				hints = append(hints, Hint{Kind: HintDied, Death: rec.death, Charged: slices.Clone(rec.charged), Left: rec.at.Add(t.cfg.Period).Sub(now)})
+				hints = append(hints, Hint{Kind: HintDied, Death: rec.death, Candidates: slices.Clone(rec.candidates), Left: rec.at.Add(t.cfg.Period).Sub(now)})
 			}
 		}
 		ts.mu.Unlock()
@@ -74,19 +74,19 @@
 	}
 }
 
-// bury records the death and returns the runs that it ended.
-func (t *Tracker) bury(d Death, now time.Time) []*Run {
+// recordDeath records the death and returns the runs that it ended.
+func (t *Tracker) recordDeath(d Death, now time.Time) []*Run {
 	ts := t.targetShard(d.Target)
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	tg := ts.get(d.Target)
 	tg.refresh(now, t.cfg.Period)
 	ended := tg.take(d.Incarnation)
-	var charged []Charge
+	var candidates []Candidate
 	for _, r := range ended {
-		charged = append(charged, Charge{r.fp, r.alone})
+		candidates = append(candidates, Candidate{r.fp, r.alone})
 	}
-	if tg.bury(d, now, charged...) {
+	if tg.recordDeath(d, now, candidates...) {
 		t.counts.deaths.Add(1)
 	}
 	ts.prune(now, t.cfg.Period, max(1, t.cfg.MaxTargets/len(t.targets)))
@@ -94,11 +94,11 @@
 }
 
 // learnDeath records a death that another host saw.
-func (t *Tracker) learnDeath(d Death, charged []Charge, at time.Time) {
+func (t *Tracker) learnDeath(d Death, candidates []Candidate, at time.Time) {
 	ts := t.targetShard(d.Target)
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	if ts.get(d.Target).bury(d, at, charged...) {
+	if ts.get(d.Target).recordDeath(d, at, candidates...) {
 		t.counts.deaths.Add(1)
 	}
 	ts.prune(t.clk.Now(), t.cfg.Period, max(1, t.cfg.MaxTargets/len(t.targets)))
@@ -113,19 +113,19 @@
 	m.clear(now.Add(t.cfg.Period))
 	t.settle(s, m, now)
 	s.mu.Unlock()
-	t.exonerate(fp, deaths)
+	t.clearCandidate(fp, deaths)
 }
 
-// charge adds the death to the fingerprint and ends the given number of runs.
-func (t *Tracker) charge(fp Fingerprint, d Death, now time.Time, left time.Duration, runs int) {
+// addDeath counts the death for the fingerprint and ends the given number of runs.
+func (t *Tracker) addDeath(fp Fingerprint, d Death, now time.Time, left time.Duration, runs int) {
 	s := t.shard(fp)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.get(fp, now)
 	m.runs -= runs
-	news := m.charge(d, now, left)
+	news := m.addDeath(d, now, left)
 	if news {
-		t.counts.charges.Add(1)
+		t.counts.counted.Add(1)
 	}
 	if news && m.quarantined() {
 		t.counts.quarantines.Add(1)
@@ -133,11 +133,11 @@
 	t.settle(s, m, now)
 }
 
-// flag marks the runs of charged fingerprints that are in flight elsewhere, so
+// flag marks the runs of the candidates' fingerprints that are in flight elsewhere, so
 // that no other suspect joins them.
-func (t *Tracker) flag(charged []Charge) {
-	suspects := make(map[Fingerprint]bool, len(charged))
-	for _, c := range charged {
+func (t *Tracker) flag(candidates []Candidate) {
+	suspects := make(map[Fingerprint]bool, len(candidates))
+	for _, c := range candidates {
 		suspects[c.Fingerprint] = true
 	}
 	for i := range t.targets {
@@ -145,30 +145,30 @@
 	}
 }
 
-func (t *Tracker) judgeAll(charged []Charge) {
-	for _, c := range charged {
-		t.judge(c.Fingerprint)
+func (t *Tracker) assessAll(candidates []Candidate) {
+	for _, c := range candidates {
+		t.assess(c.Fingerprint)
 	}
 }
 
-// judge relieves the fingerprint of charges that others are convicted of, and
-// convicts it if it is in quarantine and nobody else can have caused one of
-// its deaths. A conviction judges the others charged with those deaths, which
+// assess confirms a fingerprint in quarantine as the cause if nobody else can
+// have caused one of its deaths, and otherwise drops the deaths that have
+// another cause. A confirmed cause leads to its deaths' other candidates, which
 // ends, since each death is explained once.
-func (t *Tracker) judge(fp Fingerprint) {
+func (t *Tracker) assess(fp Fingerprint) {
 	deaths := t.deathsOf(fp)
 	if len(deaths) < MaxLosses {
 		return
 	}
 	if !t.onlyCandidate(fp, deaths) {
 		for _, d := range deaths {
-			t.relieve(fp, d)
+			t.dropExplained(fp, d)
 		}
 		return
 	}
-	t.counts.convictions.Add(1)
+	t.counts.confirmed.Add(1)
 	for _, d := range deaths {
-		t.judgeAll(t.explain(d, fp))
+		t.assessAll(t.explain(d, fp))
 	}
 }
 
@@ -200,9 +200,8 @@
 	return false
 }
 
-// explain records the convict of a death and returns the others charged with
-// it.
-func (t *Tracker) explain(d Death, convict Fingerprint) []Charge {
+// explain records the cause of a death and returns all its candidates.
+func (t *Tracker) explain(d Death, cause Fingerprint) []Candidate {
 	ts := t.targetShard(d.Target)
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
@@ -210,13 +209,13 @@
 	if rec == nil || rec.explained {
 		return nil
 	}
-	rec.explained, rec.convict = true, convict
-	return slices.Clone(rec.charged)
+	rec.explained, rec.cause = true, cause
+	return slices.Clone(rec.candidates)
 }
 
-// relieve takes the charge back if another fingerprint is convicted of the
-// death, unless it is the only charge: then the fingerprint stays a suspect.
-func (t *Tracker) relieve(fp Fingerprint, d Death) {
+// dropExplained stops counting the death if it has another cause and the
+// fingerprint is in quarantine; it stays a suspect.
+func (t *Tracker) dropExplained(fp Fingerprint, d Death) {
 	s := t.shard(fp)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -236,18 +235,18 @@
 	return ts.get(d.Target).record(d).explainedByOther(fp)
 }
 
-// exonerate takes a fingerprint that succeeded out of the candidates of its
-// deaths, which may convict another one.
-func (t *Tracker) exonerate(fp Fingerprint, deaths []Death) {
+// clearCandidate takes a fingerprint that succeeded out of the candidates of its
+// deaths, which may confirm another one.
+func (t *Tracker) clearCandidate(fp Fingerprint, deaths []Death) {
 	for _, d := range deaths {
-		t.judgeAll(t.withdraw(d, fp))
+		t.assessAll(t.removeCandidate(d, fp))
 	}
 }
 
-// reviewInterval bounds how often open deaths are judged again.
+// reviewInterval bounds how often open deaths are assessed again.
 const reviewInterval = 250 * time.Millisecond
 
-// review judges the candidates of all deaths that are not explained, since time
+// review assesses the candidates of all deaths that are not explained, since time
 // alone may have settled one.
 func (t *Tracker) review() {
 	now := t.clk.Now().UnixNano()
@@ -256,13 +255,13 @@
 		return
 	}
 	for i := range t.targets {
-		t.judgeAll(t.targets[i].open())
+		t.assessAll(t.targets[i].open())
 	}
 }
 
-// withdraw removes the fingerprint from the death's candidates and returns the
+// removeCandidate removes the fingerprint from the death's candidates and returns the
 // ones that are left.
-func (t *Tracker) withdraw(d Death, fp Fingerprint) []Charge {
+func (t *Tracker) removeCandidate(d Death, fp Fingerprint) []Candidate {
 	ts := t.targetShard(d.Target)
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
@@ -270,6 +269,6 @@
 	if rec == nil {
 		return nil
 	}
-	rec.charged = slices.DeleteFunc(rec.charged, func(c Charge) bool { return c.Fingerprint == fp })
-	return slices.Clone(rec.charged)
+	rec.candidates = slices.DeleteFunc(rec.candidates, func(c Candidate) bool { return c.Fingerprint == fp })
+	return slices.Clone(rec.candidates)
 }
--- a/coord/suspect/fuzz_test.go
+++ b/coord/suspect/fuzz_test.go
@@ -20,35 +20,35 @@
 	_ = flag.Set("rapid.checks", "2000")
 }
 
-const doubtWait = 2 * time.Second
+const holdLimit = 2 * time.Second
 
 // request is one caller with one request, which it sends again until it is
 // done or refused.
 type request struct {
-	fp      suspect.Fingerprint
-	killer  bool
-	run     *suspect.Run
-	target  int
-	done    bool
-	refused bool
-	unlucky bool // a target died by itself just while this ran there as a suspect
+	fp        suspect.Fingerprint
+	crashes   bool
+	run       *suspect.Run
+	target    int
+	done      bool
+	refused   bool
+	coincided bool // a target died by itself just while this ran there as a suspect
 }
 
 // domain models the hosts and targets of one failure domain. Announcements
 // arrive before the next step.
 type domain struct {
-	g        *gomega.WithT
-	clk      *clock.Manual
-	hosts    []*suspect.Tracker
-	life     []int // incarnation of each target
-	requests []*request
-	unlucky  int                         // suspects that met a death of a target by itself
-	lost     map[suspect.Fingerprint]int // deaths that a crashing request caused
+	g         *gomega.WithT
+	clk       *clock.Manual
+	hosts     []*suspect.Tracker
+	life      []int // incarnation of each target
+	requests  []*request
+	coincided int                         // suspects that met a death of a target by itself
+	lost      map[suspect.Fingerprint]int // deaths that a crashing request caused
 }
 
 // ended reports whether the request needs no further try. One that met a death
 // of a target by itself may be refused.
-func (r *request) ended() bool { return r.done || (r.killer || r.unlucky) && r.refused }
+func (r *request) ended() bool { return r.done || (r.crashes || r.coincided) && r.refused }
 
 func newDomain(g *gomega.WithT, hosts, targets int) *domain {
 	d := &domain{
@@ -59,7 +59,7 @@
 	}
 	for i := range hosts {
 		cfg := suspect.DefaultConfig()
-		cfg.DoubtWait = doubtWait
+		cfg.HoldLimit = holdLimit
 		cfg.Announce = func(h suspect.Hint) { d.tell(i, h) }
 		d.hosts = append(d.hosts, suspect.New(d.clk, cfg))
 	}
@@ -74,8 +74,8 @@
 	}
 }
 
-func (d *domain) add(name string, killer bool) {
-	d.requests = append(d.requests, &request{fp: suspect.FingerprintOf([]byte(name)), killer: killer, target: -1})
+func (d *domain) add(name string, crashes bool) {
+	d.requests = append(d.requests, &request{fp: suspect.FingerprintOf([]byte(name)), crashes: crashes, target: -1})
 }
 
 // send lets the request start if it may. Suspects run at host 0, the arbiter.
@@ -116,7 +116,7 @@
 
 // finish ends a running request: one that crashes targets crashes its own.
 func (d *domain) finish(r *request) {
-	if r.killer {
+	if r.crashes {
 		d.lost[r.fp]++
 		d.die(r.target)
 		return
@@ -143,17 +143,17 @@
 func (d *domain) dieByItself(target int) {
 	for _, r := range d.requests {
 		if r.run != nil && r.target == target && r.run.Alone() {
-			r.unlucky = true
-			d.unlucky++
+			r.coincided = true
+			d.coincided++
 		}
 	}
 	d.die(target)
 }
 
-func (d *domain) killers() int {
+func (d *domain) crashing() int {
 	distinct := map[suspect.Fingerprint]bool{}
 	for _, r := range d.requests {
-		if r.killer {
+		if r.crashes {
 			distinct[r.fp] = true
 		}
 	}
@@ -165,7 +165,7 @@
 	for _, n := range d.lost {
 		total += n
 	}
-	d.g.Expect(total).To(gomega.BeNumerically("<=", suspect.MaxLosses*d.killers()+d.unlucky), "targets lost: %v", d.lost)
+	d.g.Expect(total).To(gomega.BeNumerically("<=", suspect.MaxLosses*d.crashing()+d.coincided), "targets lost: %v", d.lost)
 }
 
 // settle sends all open requests again until each is done or, if it crashes
@@ -191,18 +191,18 @@
 	}
 	for _, r := range d.requests {
 		d.g.Expect(r.ended()).To(gomega.BeTrue(),
-			"request did not end: crashes targets %v, refused %v", r.killer, r.refused)
+			"request did not end: crashes targets %v, refused %v", r.crashes, r.refused)
 	}
 }
 
-func TestTargetsLostAndInnocentsFinish(t *testing.T) {
+func TestTargetsLostAreBoundedAndOthersFinish(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := gomega.NewWithT(t)
 		d := newDomain(g, rapid.IntRange(1, 4).Draw(t, "hosts"), rapid.IntRange(8, 10).Draw(t, "targets"))
 		crashing := rapid.IntRange(0, 3).Draw(t, "crashing")
 		selfDeaths := rapid.IntRange(0, 10).Draw(t, "deaths of target 0 by itself")
 		// Copies of one request at once are bounded within one host. With other
-		// causes of death on top, an innocent request beside them cannot be told
+		// causes of death on top, a harmless request beside them cannot be told
 		// from them: the bound holds, but it may be refused.
 		copies := len(d.hosts) == 1 && rapid.Bool().Draw(t, "copies")
 		if copies {
@@ -215,7 +215,7 @@
 				d.add(fmt.Sprint("crash-", i), true)
 			}
 		}
-		for i := range rapid.IntRange(1, 8).Draw(t, "innocent") {
+		for i := range rapid.IntRange(1, 8).Draw(t, "harmless") {
 			d.add(fmt.Sprint("question-", i), false)
 		}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
--- a/coord/suspect/mark.go
+++ b/coord/suspect/mark.go
@@ -12,8 +12,8 @@
 	fp      Fingerprint
 	runs    int // acquired and not ended
 	deaths  []Death
-	last    time.Time // when the last death was charged
-	until   time.Time // when the charges, or the quarantine, end
+	last    time.Time // when the last death was candidates
+	until   time.Time // when the deaths, or the quarantine, end
 	proven  time.Time // until when a success counts
 	changed chan struct{}
 	place   *list.Element // in the list of its class, when it has one
@@ -58,8 +58,8 @@
 	m.changed = make(chan struct{})
 }
 
-// charge adds a death. It reports whether that was news.
-func (m *mark) charge(d Death, now time.Time, period time.Duration) bool {
+// addDeath counts a death. It reports whether that was news.
+func (m *mark) addDeath(d Death, now time.Time, period time.Duration) bool {
 	if slices.Contains(m.deaths, d) {
 		return false
 	}
@@ -69,7 +69,7 @@
 	return true
 }
 
-// clear drops all charges.
+// clear drops all deaths.
 func (m *mark) clear(provenUntil time.Time) {
 	m.deaths = nil
 	m.until = time.Time{}
--- a/coord/suspect/suspect.go
+++ b/coord/suspect/suspect.go
@@ -1,36 +1,36 @@
 // Package suspect keeps account of requests that may crash the targets that
 // run them, for one failure domain.
 //
-// When a target dies, every request in flight there becomes a suspect: the
-// death is charged to its fingerprint. A suspect may run once more, on a target
-// that has not died lately and runs no other suspect. A second charge puts the
-// fingerprint into quarantine for one period. A run that succeeds clears it.
+// When a target dies, every request in flight there is a candidate for the
+// cause: its fingerprint counts the death and becomes a suspect. A suspect may
+// run once more, on a target that runs no other suspect and whose own deaths
+// have all been explained. A second death puts the fingerprint into quarantine
+// for one period. A run that succeeds clears the fingerprint.
 //
-// A fingerprint in quarantine is convicted once it is the only one that can
-// have caused its last death, or one that it was charged with as a suspect,
-// because all others in flight there succeeded since; other hosts get
-// Config.Settle to report theirs. That explains all its deaths: another fingerprint in
-// quarantine that was charged with one of them is a suspect again, unless it
-// is convicted as well. Until the others that were in flight are judged, but
-// no longer than Config.DoubtWait, a fingerprint is held and not refused.
-// Suspects avoid a target whose deaths are not explained, so a target that
-// keeps dying by itself charges a request once at most.
+// A fingerprint in quarantine is confirmed as the cause once it is the only
+// candidate left of its last death, or of one that it met as a suspect: all
+// others in flight there succeeded since, and other hosts had Config.Settle to
+// report theirs. That explains all its deaths: another fingerprint in
+// quarantine that counts one of them is a suspect again, unless it is confirmed
+// as well. While other candidates are open, but no longer than
+// Config.HoldLimit, a fingerprint is held and not refused. A target that keeps
+// dying by itself is avoided by suspects, so a request counts it once at most.
 //
 // Bound at one Tracker: a fingerprint that never succeeded has at most
-// MaxLosses charges and runs together. Each conviction uses up charges of its
-// own, so the targets lost in a period are at most MaxLosses times the
-// fingerprints that crash targets. A target that dies by itself for the first
-// time just while a suspect runs there cannot be told from a crash: that
-// suspect may be quarantined, and one that shared its first charge may cost one
+// MaxLosses counted deaths and runs together. Each confirmed cause uses up
+// deaths of its own, so the targets lost in a period are at most MaxLosses times
+// the fingerprints that crash targets. A target that dies by itself for the
+// first time just while a suspect runs there cannot be told from a crash: that
+// suspect may be quarantined, and one that shared its first death may cost one
 // target more.
 //
-// Bound over the hosts of a failure domain: hosts first announce a charge to
-// all hosts of the domain, and then answer the caller. All suspects run at one
-// host, Arbiter, whose Tracker sees all of them. The bound then holds for a
-// caller that sends its request again after each answer, through any host. It
-// is exceeded by at most one target for each copy that was already running
-// elsewhere when the first target died, and for each host that the
-// announcement did not reach.
+// Bound over the hosts of a failure domain: hosts first announce a death to all
+// hosts of the domain, and then answer the caller. All suspects run at one host,
+// Arbiter, whose Tracker sees all of them. The bound then holds for a caller
+// that sends its request again after each answer, through any host. It is
+// exceeded by at most one target for each copy that was already running
+// elsewhere when the first target died, and for each host that the announcement
+// did not reach.
 package suspect
 
 import (
@@ -75,14 +75,13 @@
 
 // Config bounds a Tracker.
 type Config struct {
-	// Period is how long a quarantine lasts, and how long a charge and a death
-	// are remembered.
+	// Period is how long a quarantine lasts, and how long a death is counted.
 	Period time.Duration
-	// DoubtWait is the longest hold for a fingerprint whose second charge may
-	// yet be explained by another one.
-	DoubtWait time.Duration
-	// Settle is how long after a death the other hosts' charges may still come
-	// in, before anyone is convicted of it. It must be below DoubtWait.
+	// HoldLimit is the longest hold for a fingerprint whose deaths have
+	// other candidates.
+	HoldLimit time.Duration
+	// Settle is how long after a death the other hosts' candidates may still
+	// come in, before one is confirmed as its cause. It must be below HoldLimit.
 	Settle time.Duration
 	// MaxMarked bounds the suspects and quarantined fingerprints held, and
 	// MaxProven those that succeeded lately.
@@ -100,7 +99,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Period:     10 * time.Minute,
-		DoubtWait:  2 * time.Second,
+		HoldLimit:  2 * time.Second,
 		Settle:     500 * time.Millisecond,
 		MaxMarked:  8192,
 		MaxProven:  8192,
@@ -118,8 +117,8 @@
 	HintCleared                     // a run of the fingerprint succeeded
 )
 
-// Charge names a request that was in flight when a target died.
-type Charge struct {
+// Candidate names a request that was in flight when a target died.
+type Candidate struct {
 	Fingerprint Fingerprint
 	Alone       bool // it ran as a suspect, on a target that was not known to die
 }
@@ -129,8 +128,8 @@
 type Hint struct {
 	Kind        HintKind
 	Death       Death         // with HintDied
-	Charged     []Charge      // with HintDied: those in flight at the host that tells
-	Left        time.Duration // with HintDied: until the charges end
+	Candidates  []Candidate   // with HintDied: those in flight at the host that tells
+	Left        time.Duration // with HintDied: until the death is no longer counted
 	Fingerprint Fingerprint   // with HintCleared
 }
 
@@ -145,7 +144,7 @@
 }
 
 // HeldError says that the fingerprint may not run now, since other runs of it
-// are not judged yet.
+// are open.
 type HeldError struct {
 	changed <-chan struct{}
 	until   time.Time // zero: only a change ends the hold
@@ -170,10 +169,10 @@
 // Stats counts what a Tracker holds and did.
 type Stats struct {
 	Deaths      int64 // deaths of targets, told or learned
-	Charges     int64
+	Counted     int64 // deaths counted, over all fingerprints
 	Quarantines int64
-	Convictions int64
-	Explained   int64 // charges given back
+	Confirmed   int64 // fingerprints confirmed as a cause
+	Explained   int64 // counted deaths that had another cause
 	Cleared     int64
 	Evicted     int64 // marks dropped early for lack of room
 	Marked      int64 // fingerprints held as suspects or in quarantine
--- a/coord/suspect/suspect_test.go
+++ b/coord/suspect/suspect_test.go
@@ -42,7 +42,7 @@
 }
 
 // A request that waits for the outcome of another run is told as soon as that
-// is judged.
+// ended.
 func TestAcquireWaitsForOtherRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
--- a/coord/suspect/target.go
+++ b/coord/suspect/target.go
@@ -17,27 +17,27 @@
 
 // deathRecord remembers who was in flight when the target died.
 type deathRecord struct {
-	death     Death
-	at        time.Time
-	charged   []Charge // without those that succeeded since
-	explained bool
-	convict   Fingerprint // when explained
+	death      Death
+	at         time.Time
+	candidates []Candidate // without those that succeeded since
+	explained  bool
+	cause      Fingerprint // when explained
 }
 
-// explainedByOther reports whether a fingerprint other than fp was convicted
+// explainedByOther reports whether a fingerprint other than fp is the cause
 // of the death.
 func (d *deathRecord) explainedByOther(fp Fingerprint) bool {
-	return d != nil && d.explained && d.convict != fp
+	return d != nil && d.explained && d.cause != fp
 }
 
 // onlyCandidate reports whether nobody but fp can have caused the death, if it
 // is not newer than settled. Unless anyway is set, only a death that fp met as
 // a suspect counts: the target was not known to die by itself then.
 func (d *deathRecord) onlyCandidate(fp Fingerprint, anyway bool, settled time.Time) bool {
-	if d == nil || d.explainedByOther(fp) || d.at.After(settled) || len(d.charged) != 1 {
+	if d == nil || d.explainedByOther(fp) || d.at.After(settled) || len(d.candidates) != 1 {
 		return false
 	}
-	return d.charged[0].Fingerprint == fp && (anyway || d.charged[0].Alone)
+	return d.candidates[0].Fingerprint == fp && (anyway || d.candidates[0].Alone)
 }
 
 // targetShard is a part of the targets under its own lock.
@@ -87,9 +87,9 @@
 	return taken
 }
 
-// bury records the death, with those that were charged, and reports whether it
-// was news.
-func (t *target) bury(d Death, at time.Time, charged ...Charge) bool {
+// recordDeath records the death, with its candidates, and reports whether it
+// was new.
+func (t *target) recordDeath(d Death, at time.Time, candidates ...Candidate) bool {
 	rec := t.record(d)
 	news := rec == nil
 	if news {
@@ -97,9 +97,9 @@
 		t.deaths = t.deaths[max(0, len(t.deaths)-maxDeathsPerTarget):]
 		rec = &t.deaths[len(t.deaths)-1]
 	}
-	for _, c := range charged {
-		if !slices.ContainsFunc(rec.charged, func(known Charge) bool { return known.Fingerprint == c.Fingerprint }) {
-			rec.charged = append(rec.charged, c)
+	for _, c := range candidates {
+		if !slices.ContainsFunc(rec.candidates, func(known Candidate) bool { return known.Fingerprint == c.Fingerprint }) {
+			rec.candidates = append(rec.candidates, c)
 		}
 	}
 	return news
@@ -127,18 +127,18 @@
 }
 
 // open returns the candidates of the deaths that are not explained.
-func (s *targetShard) open() []Charge {
+func (s *targetShard) open() []Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var charged []Charge
+	var candidates []Candidate
 	for _, t := range s.targets {
 		for _, d := range t.deaths {
 			if !d.explained {
-				charged = append(charged, d.charged...)
+				candidates = append(candidates, d.candidates...)
 			}
 		}
 	}
-	return charged
+	return candidates
 }
 
 // prune drops targets about which nothing is known, and beyond the limit the
--- a/coord/suspect/tracker.go
+++ b/coord/suspect/tracker.go
@@ -13,7 +13,7 @@
 	"github.com/plantainrun/plantainrun/coord/clock"
 )
 
-// Tracker judges the requests of one host, and at the arbiter all suspects of
+// Tracker assesses the requests of one host, and at the arbiter all suspects of
 // the failure domain. It is safe for concurrent use. Locks are taken in the
 // order fingerprint, target, and never two of a kind.
 type Tracker struct {
@@ -27,7 +27,7 @@
 }
 
 type counts struct {
-	deaths, charges, quarantines, convictions, explained, cleared, evicted atomic.Int64
+	deaths, counted, quarantines, confirmed, explained, cleared, evicted atomic.Int64
 }
 
 // Run is the permission to run one request once. On must be called before the
@@ -113,24 +113,24 @@
 	if !m.quarantined() {
 		return nil
 	}
-	if doubt := m.last.Add(t.cfg.DoubtWait); now.Before(doubt) && t.doubtful(m) {
+	if limit := m.last.Add(t.cfg.HoldLimit); now.Before(limit) && t.undecided(m) {
 		next := now.Add(reviewInterval)
-		if doubt.Before(next) {
-			next = doubt
+		if limit.Before(next) {
+			next = limit
 		}
 		return &HeldError{changed: m.changed, until: next}
 	}
 	return &QuarantinedError{RetryAfter: m.until.Sub(now)}
 }
 
-// doubtful reports whether another fingerprint may yet explain one of the
-// deaths charged to m.
-func (t *Tracker) doubtful(m *mark) bool {
+// undecided reports whether another fingerprint may have caused one of the
+// deaths candidates to m.
+func (t *Tracker) undecided(m *mark) bool {
 	for _, d := range m.deaths {
 		ts := t.targetShard(d.Target)
 		ts.mu.Lock()
 		rec := ts.get(d.Target).record(d)
-		open := rec != nil && len(rec.charged) > 1
+		open := rec != nil && len(rec.candidates) > 1
 		ts.mu.Unlock()
 		if open {
 			return true
@@ -178,7 +178,7 @@
 // On records where the request is about to run; it may be called again for
 // another target when nothing was sent to the one before. It fails with *AvoidError when
 // a suspect may not run there, and with *QuarantinedError or *HeldError when
-// the fingerprint was judged since Acquire; nothing may be sent then.
+// the fingerprint was assessed since Acquire; nothing may be sent then.
 func (r *Run) On(targetID, incarnation string) error {
 	t := r.tracker
 	t.noticeRestart(targetID, incarnation)
@@ -238,7 +238,7 @@
 	s.mu.Unlock()
 	if succeeded && len(deaths) > 0 {
 		t.counts.cleared.Add(1)
-		t.exonerate(r.fp, deaths)
+		t.clearCandidate(r.fp, deaths)
 		t.announce(Hint{Kind: HintCleared, Fingerprint: r.fp})
 	}
 }
@@ -281,9 +281,9 @@
 	}
 	return Stats{
 		Deaths:      t.counts.deaths.Load(),
-		Charges:     t.counts.charges.Load(),
+		Counted:     t.counts.counted.Load(),
 		Quarantines: t.counts.quarantines.Load(),
-		Convictions: t.counts.convictions.Load(),
+		Confirmed:   t.counts.confirmed.Load(),
 		Explained:   t.counts.explained.Load(),
 		Cleared:     t.counts.cleared.Load(),
 		Evicted:     t.counts.evicted.Load(),
