--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -66,10 +66,16 @@
 	OutputTokens int `json:"output_tokens"`
 }
 
+// The kinds of Held.
+const (
+	HeldStream = "stream"
+	HeldKV     = "kv"
+)
+
 // Held is one thing that pins an engine's memory.
 type Held struct {
 	ID         string `json:"id"`
-	Kind       string `json:"kind"` // "stream" or "kv"
+	Kind       string `json:"kind"` // HeldStream or HeldKV
 	Owner      string `json:"owner"`
 	DeadlineMS int64  `json:"deadline_ms"`
 	Tokens     int    `json:"tokens"`
@@ -139,8 +145,21 @@
 	Data       []byte `json:"data,omitempty"`
 }
 
+// The reasons of a Refusal.
+const (
+	ReasonBusy         = "busy"
+	ReasonLeaving      = "leaving"
+	ReasonNoMemory     = "no_memory"
+	ReasonWrongModel   = "wrong_model"
+	ReasonLoading      = "loading"
+	ReasonStaleFencing = "stale_fencing"
+	ReasonNotFound     = "not_found"
+	ReasonDuplicate    = "duplicate" // the engine already has something of this id
+	ReasonInvalid      = "invalid"   // the request cannot be read
+)
+
 // Refusal is the body of an engine's refusal.
 type Refusal struct {
-	Reason string `json:"reason"` // "busy", "leaving", "no_memory", "wrong_model", "loading", "stale_fencing", "not_found"
+	Reason string `json:"reason"`
 	Detail string `json:"detail,omitempty"`
 }
