Count deaths of a run that goes on at another target

Cause: a Run that its target's death had ended could register at another target without a new permission, and that target's death was then not counted, nor was one reported under the incarnation of the process that came after.

Ruled out: failing On after a death (callers would have to tell it from a refusal).

Conclusion: On takes the permission again, and Run.Died reports the death of the process that the run was on.

Checks: go test -race, go vet.

--- a/coord/suspect/suspect.go
+++ b/coord/suspect/suspect.go
@@ -117,8 +117,8 @@
 	HintCleared                     // a run of the fingerprint succeeded
 )
 
-// Candidate names a request that was in flight when a target died.
-type Candidate struct {
+// Charge counts a death against a request that was in flight at the target.
+type Charge struct {
 	Fingerprint Fingerprint
 	Alone       bool // it ran as a suspect, on a target that was not known to die
 }
@@ -128,7 +128,7 @@
 type Hint struct {
 	Kind        HintKind
 	Death       Death         // with HintDied
-	Candidates  []Candidate   // with HintDied: those in flight at the host that tells
+	Charged     []Charge      // with HintDied: those in flight at the host that tells
 	Left        time.Duration // with HintDied: until the death is no longer counted
 	Fingerprint Fingerprint   // with HintCleared
 }
--- a/coord/suspect/suspect_test.go
+++ b/coord/suspect/suspect_test.go
@@ -89,6 +89,23 @@
 	g.Expect(len(tracker.Snapshot())).To(gomega.BeNumerically("<=", 16))
 }
 
+// A run that goes on at another target after a death counts like a new one, and
+// reports deaths of the process that it ran on.
+func TestRunGoesOnAfterADeath(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := suspect.New(clock.NewManual(time.Unix(0, 0)), suspect.DefaultConfig())
+	r, err := tracker.TryAcquire(suspect.FingerprintOf([]byte("prompt")))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var quarantined *suspect.QuarantinedError
+	for i := range 3 {
+		err := r.On(fmt.Sprint("target-", i), "a")
+		g.Expect(errors.As(err, &quarantined)).To(gomega.Equal(i == suspect.MaxLosses), "%d: %v", i, err)
+		r.Died()
+	}
+	r.End(false)
+	g.Expect(tracker.Stats().Counted).To(gomega.BeEquivalentTo(suspect.MaxLosses))
+}
+
 // Under load from many goroutines, with deaths in between, nothing is left
 // behind once all ended and the period passed.
 func TestConcurrentUseLeavesNothingBehind(t *testing.T) {
--- a/coord/suspect/tracker.go
+++ b/coord/suspect/tracker.go
@@ -101,7 +101,7 @@
 	if err := t.refusal(m, now); err != nil {
 		return nil, err
 	}
-	if !m.provenAt(now) && m.runs+len(m.deaths) >= MaxLosses {
+	if t.full(m, now) {
 		return nil, &HeldError{changed: m.changed}
 	}
 	m.runs++
@@ -176,9 +176,10 @@
 }
 
 // On records where the request is about to run; it may be called again for
-// another target when nothing was sent to the one before. It fails with *AvoidError when
-// a suspect may not run there, and with *QuarantinedError or *HeldError when
-// the fingerprint was assessed since Acquire; nothing may be sent then.
+// another target when nothing was sent to the one before, or when that one died.
+// It fails with *AvoidError when a suspect may not run there, and with
+// *QuarantinedError when the fingerprint may not run any more, or not now;
+// nothing may be sent then.
 func (r *Run) On(targetID, incarnation string) error {
 	t := r.tracker
 	t.noticeRestart(targetID, incarnation)
@@ -189,7 +190,11 @@
 	m := s.get(r.fp, now)
 	if err := t.refusal(m, now); err != nil {
 		s.mu.Unlock()
-		return err
+		return t.refuse(err)
+	}
+	if r.ended.Load() && !t.reopen(r, m, now) {
+		s.mu.Unlock()
+		return t.refuse(&HeldError{})
 	}
 	ok := t.enter(r, targetID, incarnation, m.suspected(), now)
 	s.mu.Unlock()
@@ -199,6 +204,34 @@
 	return nil
 }
 
+// refuse turns a hold into a refusal for a short time.
+func (t *Tracker) refuse(err error) error {
+	var held *HeldError
+	if errors.As(err, &held) {
+		return &QuarantinedError{RetryAfter: t.cfg.HoldLimit}
+	}
+	return err
+}
+
+// reopen takes the permission again for a run that its target's death ended.
+func (t *Tracker) reopen(r *Run, m *mark, now time.Time) bool {
+	if t.full(m, now) {
+		return false
+	}
+	m.runs++
+	r.ended.Store(false)
+	return true
+}
+
+// full reports whether no more runs of the fingerprint may be in flight.
+func (t *Tracker) full(m *mark, now time.Time) bool {
+	return !m.provenAt(now) && m.runs+len(m.deaths) >= MaxLosses
+}
+
+// Died records that the target died under this run, whichever process of the
+// target is known by now. See TargetDied.
+func (r *Run) Died() { r.tracker.TargetDied(r.target, r.incarnation) }
+
 // enter registers the run at the target unless a suspect must avoid it.
 func (t *Tracker) enter(r *Run, targetID, incarnation string, suspected bool, now time.Time) bool {
 	ts := t.targetShard(targetID)
