--- a/internal/engine/consume.go
+++ b/internal/engine/consume.go
@@ -21,7 +21,7 @@
 
 // consume passes the tokens of one connection on. It returns nil when the
 // answer is whole, an *Error when the attempt has ended, and otherwise a fault.
-// Once ctx has ended no token is passed on, not even one that came before.
+// Once the attempt is over no token is passed on, not even one that came before.
 func (a *attempt) consume(ctx context.Context, x *exchange) error {
 	lines := bufio.NewScanner(x.resp.Body)
 	lines.Buffer(nil, longestLine)
@@ -31,7 +31,7 @@
 		x.expect(a.client.bounds.Token(a.remaining()))
 		ok := lines.Scan()
 		x.rest()
-		if !ok || ctx.Err() != nil {
+		if !ok || a.over(ctx) {
 			return a.readEnded(x, lines.Err(), a.result.Tokens > before)
 		}
 		line := bytes.TrimSpace(lines.Bytes())
--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/plantainrun/plantainrun/coord/outcome"
@@ -45,7 +44,8 @@
 // resumed at the next token. Any other error is an *Error; its outcome is
 // NotRun only when no byte of the request can have left, or the engine said
 // so. An engine stream that is not known to have ended is cancelled in the
-// background.
+// background. The id must be fresh for each attempt at one engine, for an engine
+// refuses one that it knows.
 func (c *Client) Generate(ctx context.Context, target topology.Target, req engineapi.GenerateRequest, sink Sink) (Result, error) {
 	c.attempts.Add(1)
 	body, err := newPromptBody(req)
@@ -103,6 +103,9 @@
 // run opens connections until the answer is whole or the attempt has failed.
 func (a *attempt) run(ctx context.Context) *Error {
 	for {
+		if a.over(ctx) {
+			return a.ctxError(ctx)
+		}
 		x, err := a.open(ctx)
 		if err == nil {
 			err = a.consume(ctx, x)
@@ -125,7 +128,7 @@
 	if final, ok := err.(*Error); ok { //nolint:errorlint // own errors come unwrapped
 		return final
 	}
-	if ctx.Err() != nil {
+	if a.over(ctx) {
 		return a.ctxError(ctx)
 	}
 	f, _ := err.(fault) //nolint:errorlint // own errors come unwrapped
@@ -169,11 +172,15 @@
 
 // ctxError tells the end of the time limit from the caller's going away.
 func (a *attempt) ctxError(ctx context.Context) *Error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return a.fail(KindDeadline, context.Cause(ctx))
+	if a.remaining() == 0 {
+		return a.fail(KindDeadline, context.DeadlineExceeded)
 	}
 	return a.fail(KindCancelled, context.Cause(ctx))
 }
 
+// over reports whether the attempt has ended. After a pause of the process the
+// time limit may have passed before ctx hears of it.
+func (a *attempt) over(ctx context.Context) bool { return ctx.Err() != nil || a.remaining() == 0 }
+
 // remaining is the time left to the attempt.
 func (a *attempt) remaining() time.Duration { return max(0, time.Until(a.limit)) }
