--- a/coord/share/share.go
+++ b/coord/share/share.go
@@ -284,6 +284,17 @@
 	s.changed()
 }
 
+// Borrows reports whether the host has a loan or may still get one it asked for.
+func (s *Split) Borrows(now time.Time) bool {
+	s.Advance(now)
+	for _, a := range s.asks {
+		if now.Before(a.answerBy) {
+			return true
+		}
+	}
+	return len(s.borrowed) > 0
+}
+
 // EachBorrowed calls fn for each loan that the host has. fn must not change
 // the Split.
 func (s *Split) EachBorrowed(fn func(id LoanID, amount float64, end time.Time)) {
--- a/internal/memory/ledger.go
+++ b/internal/memory/ledger.go
@@ -105,17 +105,18 @@
 	return a.split.Waiting()
 }
 
-// Overhang is how far this host's reservations and loans exceed its own part,
-// in tokens. A host confirms to a new sharer only when it is zero.
-func (l *Ledger) Overhang(now time.Time, target string) int {
+// Keeps reports whether this host keeps to its own part of an engine's memory:
+// its reservations fit into it, and it has no loan and has asked for none. A host
+// that started anew may use its part at once when every other sharer keeps to its own.
+func (l *Ledger) Keeps(now time.Time, target string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a, ok := l.accounts[target]
 	if !ok {
-		return 0
+		return true
 	}
 	a.split.Advance(now)
-	return max(0, a.used-int(a.split.Available()))
+	return !a.split.Borrows(now) && float64(a.used) <= a.split.Available()
 }
 
 // Reserve reserves all parts until the given time or, when one does not fit,
--- /dev/null
+++ b/internal/memory/ledger_test.go
@@ -0,0 +1,227 @@
+package memory_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/plantainrun/plantainrun/coord/share"
+	"github.com/plantainrun/plantainrun/internal/engineapi"
+	"github.com/plantainrun/plantainrun/internal/memory"
+)
+
+const (
+	total   = 1200 // tokens of each engine
+	settle  = 100 * time.Second
+	maxTerm = 60 * time.Second
+)
+
+var (
+	epoch   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	engines = []string{"a", "b"}
+)
+
+// fleet is hosts that share the engines and lose each other's messages.
+type fleet struct {
+	now      time.Time
+	ledgers  []*memory.Ledger
+	held     []map[string]time.Time // ends of the reservations by host
+	started  int
+	messages []message
+}
+
+type message struct {
+	to, from int
+	ask      *share.Ask
+	loan     *share.Loan
+	returned *share.LoanID
+	target   string
+}
+
+func newFleet(hosts int) *fleet {
+	f := &fleet{now: epoch, ledgers: make([]*memory.Ledger, hosts), held: make([]map[string]time.Time, hosts)}
+	for i := range hosts {
+		f.start(i)
+	}
+	f.now = f.now.Add(settle)
+	return f
+}
+
+// start begins a new process of host i, which knows nothing of the old one.
+func (f *fleet) start(i int) {
+	f.started++
+	self := fmt.Sprintf("host-%d@%d", i, f.started)
+	f.ledgers[i] = memory.NewLedger(share.Config{Self: self, Settle: settle, MaxTerm: maxTerm})
+	f.held[i] = map[string]time.Time{}
+	for _, e := range engines {
+		f.ledgers[i].SetTarget(f.now, e, total, len(f.ledgers))
+	}
+}
+
+// confirm lets host i use its part when all others keep to theirs.
+func (f *fleet) confirm(i int, target string) {
+	for j, l := range f.ledgers {
+		if j != i && !l.Keeps(f.now, target) {
+			return
+		}
+	}
+	f.ledgers[i].Settled(f.now, target)
+}
+
+func (f *fleet) deliver(m message) {
+	l := f.ledgers[m.to]
+	switch {
+	case m.ask != nil:
+		if loan, ok := l.Lend(f.now, *m.ask, 0); ok {
+			f.messages = append(f.messages, message{to: m.from, from: m.to, loan: &loan})
+		}
+	case m.loan != nil:
+		l.Accept(f.now, *m.loan)
+	default:
+		l.Returned(f.now, m.target, *m.returned)
+	}
+}
+
+// advance lets time pass; a reservation ends when its time is over.
+func (f *fleet) advance(d time.Duration) {
+	f.now = f.now.Add(d)
+	for i, held := range f.held {
+		for id, until := range held {
+			if !until.After(f.now) {
+				f.ledgers[i].Release(id)
+				delete(held, id)
+			}
+		}
+	}
+}
+
+func (f *fleet) promised(target string) int {
+	sum := 0
+	for _, l := range f.ledgers {
+		sum += l.Used(target)
+	}
+	return sum
+}
+
+// No engine's memory is promised twice, whatever is lost, repeated or late, and
+// whichever hosts start anew; and all of it comes back.
+func TestMemoryIsNeverPromisedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 3).Draw(t, "hosts"))
+		host := func() int { return rapid.IntRange(0, len(f.ledgers)-1).Draw(t, "host") }
+		engine := func() string { return rapid.SampledFrom(engines).Draw(t, "engine") }
+		next := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(t *rapid.T) {
+				f.advance(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"reserve": func(t *rapid.T) {
+				i := host()
+				var parts []engineapi.Part
+				until := f.now.Add(time.Duration(rapid.IntRange(1, 55).Draw(t, "seconds")) * time.Second)
+				for _, e := range engines[:rapid.IntRange(1, len(engines)).Draw(t, "parts")] {
+					tokens := f.ledgers[i].Free(f.now, e, until)
+					if rapid.Bool().Draw(t, "some") {
+						tokens = rapid.IntRange(1, total/2).Draw(t, "tokens")
+					}
+					parts = append(parts, engineapi.Part{Target: e, Tokens: max(tokens, 1)})
+				}
+				next++
+				id := fmt.Sprint(next)
+				before := []int{f.promised("a"), f.promised("b")}
+				if err := f.ledgers[i].Reserve(f.now, id, parts, until); err == nil {
+					f.held[i][id] = until
+					return
+				}
+				after := []int{f.promised("a"), f.promised("b")}
+				gomega.NewWithT(t).Expect(after).To(gomega.Equal(before))
+			},
+			"release": func(t *rapid.T) {
+				i := host()
+				if len(f.held[i]) == 0 {
+					return
+				}
+				id := fmt.Sprint(rapid.IntRange(1, next).Draw(t, "id"))
+				if f.ledgers[i].Release(id) {
+					delete(f.held[i], id)
+				}
+			},
+			"ask": func(t *rapid.T) {
+				i, j := host(), host()
+				ask, ok := f.ledgers[i].Ask(f.now, engine(), rapid.IntRange(100, total).Draw(t, "amount"), maxTerm)
+				if !ok || i == j {
+					return
+				}
+				if rapid.Bool().Draw(t, "at once") {
+					f.deliver(message{to: j, from: i, ask: &ask})
+					return
+				}
+				f.messages = append(f.messages, message{to: j, from: i, ask: &ask})
+			},
+			"give back": func(t *rapid.T) {
+				i, j, target := host(), host(), engine()
+				for _, id := range f.ledgers[i].GiveBack(f.now, target) {
+					f.messages = append(f.messages, message{to: j, from: i, target: target, returned: &id})
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				for range rapid.IntRange(1, 4).Draw(t, "count") {
+					if len(f.messages) == 0 {
+						return
+					}
+					at := len(f.messages) - 1 - rapid.IntRange(0, min(2, len(f.messages)-1)).Draw(t, "message")
+					m := f.messages[at]
+					if !rapid.Bool().Draw(t, "again") {
+						f.messages = append(f.messages[:at], f.messages[at+1:]...)
+					}
+					f.deliver(m)
+				}
+			},
+			"restart": func(t *rapid.T) {
+				if rapid.Bool().Draw(t, "restart") {
+					f.start(host())
+				}
+			},
+			"confirm": func(*rapid.T) { f.confirm(host(), engine()) },
+			"": func(t *rapid.T) {
+				for _, e := range engines {
+					gomega.NewWithT(t).Expect(f.promised(e)).To(gomega.BeNumerically("<=", total), "engine "+e)
+				}
+			},
+		})
+		f.checkAllComesBack(t)
+	})
+}
+
+func (f *fleet) checkAllComesBack(t *rapid.T) {
+	for i, l := range f.ledgers {
+		for id := range f.held[i] {
+			l.Release(id)
+		}
+	}
+	f.now = f.now.Add(settle + 2*maxTerm)
+	for _, l := range f.ledgers {
+		for _, e := range engines {
+			gomega.NewWithT(t).Expect(l.Free(f.now, e, f.now)).To(gomega.Equal(total / len(f.ledgers)))
+		}
+	}
+}
+
+// A reservation that outlasts a loan does not use it.
+func TestLoanThatEndsTooSoonIsNotPromised(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(2)
+	ask, _ := f.ledgers[0].Ask(f.now, "a", 300, 10*time.Second)
+	loan, ok := f.ledgers[1].Lend(f.now, ask, 0)
+	g.Expect(ok && f.ledgers[0].Accept(f.now, loan)).To(gomega.BeTrue())
+	parts := []engineapi.Part{{Target: "a", Tokens: total/2 + 200}}
+	err := f.ledgers[0].Reserve(f.now, "long", parts, f.now.Add(11*time.Second))
+	var short *memory.ShortError
+	g.Expect(errors.As(err, &short)).To(gomega.BeTrue())
+	g.Expect(short.Free).To(gomega.Equal(total / 2))
+	g.Expect(f.ledgers[0].Reserve(f.now, "brief", parts, f.now.Add(10*time.Second))).To(gomega.Succeed())
+}
--- a/internal/schedule/local.go
+++ b/internal/schedule/local.go
@@ -344,6 +344,10 @@
 	}
 }
 
+// Keeps reports whether this host keeps to its own part of the target's memory,
+// in answer to a peer that started anew.
+func (l *Local) Keeps(now time.Time, target string) bool { return l.ledger.Keeps(now, target) }
+
 // Settled tells that every other host which shares the target's memory has
 // confirmed that it keeps to its part.
 func (l *Local) Settled(now time.Time, target string) {
