--- a/internal/schedule/backlog.go
+++ b/internal/schedule/backlog.go
@@ -73,25 +73,45 @@
 	b.works = slices.DeleteFunc(b.works, func(w work) bool { return w.id == id })
 }
 
-// correct takes in a report that the engine observed some time ago: what was
-// dispatched since is added to it and what was computed since taken off.
+// correct takes in a report that the engine observed some time ago. What was
+// computed since, apart from requests dispatched since, is taken off it, and the rest is
+// set against the older dispatches.
 func (b *backlog) correct(now, observed time.Time, reported float64) {
 	b.advance(now)
-	total, known := reported-b.rate*now.Sub(observed).Seconds(), 0.
+	computed := b.rate * now.Sub(observed).Seconds()
+	older := 0.
 	for i := range b.works {
 		w := &b.works[i]
-		known += w.left
 		if w.at.After(observed) {
-			total += w.tokens
+			computed -= w.tokens - w.left
+		} else {
+			older += w.left
 		}
 	}
-	total = max(total, 0)
-	b.unknown = max(0, total-known)
-	if known > total {
-		b.drain(known - total)
+	reported = max(0, reported-max(0, computed))
+	b.unknown = max(0, reported-older)
+	if older > reported {
+		b.drainOlder(observed, older-reported)
 	}
 }
 
+// drainOlder takes tokens off the requests dispatched up to a time.
+func (b *backlog) drainOlder(observed time.Time, tokens float64) {
+	kept := b.works[:0]
+	for _, w := range b.works {
+		if !w.at.After(observed) {
+			done := min(w.left, tokens)
+			w.left -= done
+			tokens -= done
+		}
+		if w.own || w.left > 0 {
+			kept = append(kept, w)
+		}
+	}
+	clear(b.works[len(kept):])
+	b.works = kept
+}
+
 // clear forgets everything; the engine started anew.
 func (b *backlog) clear() {
 	b.works = b.works[:0]
