Keep an old backlog from passing other organisations, and start claims first

A prompt that claimed a group's memory never started although the memory was free, because four short prompts of its organisation stood before it in the queue.

The window at an engine now counts work by class, not by due time; a short prompt's due time at the engine counts from its dispatch; a claim's request is tried first.

--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -140,6 +140,16 @@
 	return true
 }
 
+// Take takes a queued item out of turn and charges its flow.
+func (q *Queue[T]) Take(it *Item[T]) bool {
+	if !it.queued {
+		return false
+	}
+	p := q.byName[it.Partner]
+	q.charge(p, p.byName[it.Organisation], it.Cost)
+	return q.Remove(it)
+}
+
 // Expire removes and returns the items whose time has come, earliest first.
 func (q *Queue[T]) Expire(now time.Time) []*Item[T] {
 	var expired []*Item[T]
@@ -185,19 +195,6 @@
 	return nil
 }
 
-// Charge accounts work that ran without passing through the queue.
-func (q *Queue[T]) Charge(partnerName, organisationName string, tokens float64) {
-	p := q.partner(partnerName)
-	o := q.organisation(p, organisationName)
-	if p.count == 0 {
-		p.finish = max(p.finish, q.partners.virtual)
-	}
-	if len(o.items) == 0 {
-		o.finish = max(o.finish, p.orgs.virtual)
-	}
-	q.charge(p, o, max(tokens, 1))
-}
-
 // charge moves the flows' finish times on. The virtual time of a level is the
 // start time of the item in service and never moves back.
 func (q *Queue[T]) charge(p *partner[T], o *organisation[T], tokens float64) {
--- a/internal/schedule/backlog.go
+++ b/internal/schedule/backlog.go
@@ -121,6 +121,7 @@
 // load is a summary of a backlog for one priority.
 type load struct {
 	ahead float64 // tokens of the same or a higher priority
+	class float64 // tokens of the same or a shorter class
 	total float64 // tokens
 	long  int     // long prompts in prefill
 	stall time.Duration
@@ -136,18 +137,35 @@
 	stallSlack  = 250 * time.Millisecond
 )
 
+// classRank orders the classes, shortest first.
+func classRank(class rules.Class) int {
+	switch class {
+	case rules.ClassShort:
+		return 0
+	case rules.ClassMedium:
+		return 1
+	default:
+		return 2
+	}
+}
+
 func (b *backlog) load(now time.Time, priority int64, class rules.Class) load {
 	b.advance(now)
 	l := load{ahead: b.unknown, total: b.unknown}
 	if class == rules.ClassShort {
 		l.ahead = min(l.ahead, unknownAhead)
 	}
+	l.class = l.ahead
+	rank := classRank(class)
 	for i := range b.works {
 		w := &b.works[i]
 		l.total += w.left
 		if w.priority <= priority {
 			l.ahead += w.left
 		}
+		if classRank(w.class) <= rank {
+			l.class += w.left
+		}
 		if w.class == rules.ClassLong && w.left > 0 {
 			l.long++
 		}
--- a/internal/schedule/grant.go
+++ b/internal/schedule/grant.go
@@ -89,6 +89,7 @@
 		return false
 	}
 	g := &grant{pool: p, waiter: w, target: at.target.info, parts: parts, reserved: id}
+	w.priority = p.policy.Priority(now, &w.req, w.shape)
 	for _, part := range parts {
 		p.targets[part.Target].occupy(w, 1)
 	}
--- a/internal/schedule/local.go
+++ b/internal/schedule/local.go
@@ -210,7 +210,7 @@
 		need: req.PromptTokens + req.MaxTokens, until: req.Deadline.Add(l.cfg.Grace),
 	}
 	w.shape = r.pool.shape(&w.req, l.objective(req.Partner), l.cfg.Estimator.Rates(r.model))
-	w.priority = r.pool.policy.Priority(&w.req, w.shape)
+	w.priority = r.pool.policy.Priority(now, &w.req, w.shape)
 	if err := r.pool.offer(now, w); err != nil {
 		return nil, err
 	}
--- a/internal/schedule/policy.go
+++ b/internal/schedule/policy.go
@@ -21,9 +21,11 @@
 	// Target is the target's id; of a group, its first member's.
 	Target string
 	// FirstToken is the predicted time until the first token, Ahead the part of
-	// it that is work of the same or a higher priority, Backlog all work that is queued there.
+	// it that is work of the same or a higher priority, Queued the work of the same or a
+	// shorter class, and Backlog all work that is queued there.
 	FirstToken time.Duration
 	Ahead      time.Duration
+	Queued     time.Duration
 	Backlog    time.Duration
 	// Running counts requests that run or wait at the target, LongPrefills the long prompts
 	// among them without a first token.
@@ -43,9 +45,10 @@
 // has its own instance, whose methods are called under the model's lock and must
 // not block; Priority alone may be called at the same time as others.
 type Policy interface {
-	// Priority is the request's priority at the engine; lower runs first. Values of all
-	// hosts must be comparable.
-	Priority(req *Request, shape Shape) int64
+	// Priority is the request's rank in its organisation's queue when it is offered, and
+	// its priority at the engine when it starts; lower runs first. Values of all hosts must
+	// be comparable.
+	Priority(now time.Time, req *Request, shape Shape) int64
 	// Enters reports whether requests of the shape may use the candidate's target at
 	// all, now or later.
 	Enters(shape Shape, c *Candidate) bool
@@ -56,7 +59,7 @@
 
 // Parameters of SlackPolicy.
 const (
-	shortWindow    = 1000 * time.Millisecond // work ahead at a target before requests wait at the host
+	shortWindow    = 1000 * time.Millisecond // work at a target before requests wait at the host
 	otherWindow    = 500 * time.Millisecond
 	leastWait      = 150 * time.Millisecond
 	firstTokenGoal = 420 * time.Millisecond
@@ -89,10 +92,16 @@
 	return &SlackPolicy{LongPerTarget: longPerTarget, LeastClosed: leastClosed, MostClosed: mostClosed}
 }
 
-// Priority is the Unix time in milliseconds at which the first token is due.
-func (p *SlackPolicy) Priority(req *Request, shape Shape) int64 {
-	slack := req.Deadline.Sub(req.Arrival) - shape.Prefill - shape.Decode
-	return req.Arrival.Add(dueAfter(shape, max(slack, 0))).UnixMilli()
+// Priority is the Unix time in milliseconds at which the first token is due. For
+// short prompts it counts from now: at the engine, a backlog of old ones must not pass
+// those of other organisations.
+func (p *SlackPolicy) Priority(now time.Time, req *Request, shape Shape) int64 {
+	from := req.Arrival
+	if shape.Class == rules.ClassShort {
+		from = now
+	}
+	slack := req.Deadline.Sub(from) - shape.Prefill - shape.Decode
+	return from.Add(dueAfter(shape, max(slack, 0))).UnixMilli()
 }
 
 // dueAfter is how long after its arrival a request's first token is due: soon
@@ -114,7 +123,8 @@
 }
 
 // Choose picks the earliest predicted first token among the targets with little
-// work ahead.
+// work of the same or a shorter class. What is due first does not matter there:
+// else a backlog that grew old would keep others out, whatever the queue's order.
 func (p *SlackPolicy) Choose(_ time.Time, _ *Request, shape Shape, candidates []Candidate) int {
 	window := otherWindow
 	if shape.Class == rules.ClassShort {
@@ -123,7 +133,7 @@
 	best := -1
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Ahead > window || !p.Enters(shape, c) {
+		if c.Queued > window || !p.Enters(shape, c) {
 			continue
 		}
 		if shape.Class == rules.ClassLong && c.LongPrefills >= p.LongPerTarget {
--- a/internal/schedule/policybench/policies.go
+++ b/internal/schedule/policybench/policies.go
@@ -34,7 +34,7 @@
 // them in order of arrival.
 type arrivalOrder struct{}
 
-func (arrivalOrder) Priority(*schedule.Request, schedule.Shape) int64 { return 0 }
+func (arrivalOrder) Priority(time.Time, *schedule.Request, schedule.Shape) int64 { return 0 }
 
 func (arrivalOrder) Enters(schedule.Shape, *schedule.Candidate) bool { return true }
 
@@ -116,7 +116,7 @@
 // slack runs the request with the earliest latest start first.
 type slack struct{ arrivalOrder }
 
-func (*slack) Priority(req *schedule.Request, shape schedule.Shape) int64 {
+func (*slack) Priority(_ time.Time, req *schedule.Request, shape schedule.Shape) int64 {
 	return req.Deadline.Add(-shape.Prefill - shape.Decode).UnixMilli()
 }
 
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -153,6 +153,7 @@
 		return
 	}
 	var seen misses
+	p.startClaimed(now, &seen)
 	for {
 		it := p.queue.Offer(lookahead, func(it *fairqueue.Item[*waiter]) bool { return p.start(now, it.Value, &seen) })
 		if it == nil {
@@ -163,6 +164,18 @@
 	p.pursueClaim(now)
 }
 
+// startClaimed tries the request that claims memory first: many requests of its
+// organisation may be queued before it.
+func (p *pool) startClaimed(now time.Time, seen *misses) {
+	if p.claim == nil {
+		return
+	}
+	w := p.claim.waiter
+	if p.start(now, w, seen) && p.queue.Take(&w.item) {
+		p.left(w)
+	}
+}
+
 func (p *pool) expire(now time.Time) {
 	for _, it := range p.queue.Expire(now) {
 		w := it.Value
