Prove that values spread and never revert, and stand in for lost readers

Cause: the promises of the host's knowledge had no proof under failure.

- A stateful fuzz in virtual time: publications good and bad, crashes, restarts of any and of all but one host, a service that is down or stale, domains cut off from it or from each other, lost and late messages.
The oracle keeps what was published and who reaches whom.
- Watches wait 2 s, and the next hosts stand in 6 s after the service was last heard of: with 3 s and 8 s, a change could be missed for more than 9 s when all readers of a cut-off domain crash.
- Reads of a key are 500 ms apart: with 250 ms a burst of 50 changes came to 96 calls in the worst second of a domain, 1,920 over 20 domains.
- A new host asks the service until it answered once, not until peers did.
- Compression at the next level: a change of one of 4,000 hosts took 3,497 bytes at the default level and 147 now.

Oracle corrected: a starting host must have what those had whom it can still reach, not those who were restarted at the same moment.

--- a/internal/knowledge/codec.go
+++ b/internal/knowledge/codec.go
@@ -45,7 +45,10 @@
 	if last := e.last[msg.Key]; last != nil && sameContent(last, msg) {
 		return last, nil
 	}
-	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(windowBytes), zstd.WithLowerEncoderMem(true)}
+	options := []zstd.EOption{
+		zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(windowBytes), zstd.WithLowerEncoderMem(true),
+		zstd.WithEncoderLevel(zstd.SpeedBetterCompression), // lower levels miss most of a long dictionary
+	}
 	if u.Base.Revision > 0 {
 		options = append(options, zstd.WithEncoderDictRaw(dictionaryID, u.Base.Body))
 	}
--- a/internal/knowledge/knowledge.go
+++ b/internal/knowledge/knowledge.go
@@ -42,12 +42,12 @@
 
 // Defaults of Config.
 const (
-	DefaultWatchWait        = 3 * time.Second
+	DefaultWatchWait        = 2 * time.Second
 	DefaultCheckInterval    = time.Minute
 	DefaultExchangeInterval = time.Second
 	DefaultStartWait        = 10 * time.Second
 	DefaultStartSpread      = 4 * time.Second
-	DefaultBatchInterval    = 250 * time.Millisecond
+	DefaultBatchInterval    = 500 * time.Millisecond
 	DefaultReaders          = 3
 )
 
--- a/internal/knowledge/read.go
+++ b/internal/knowledge/read.go
@@ -43,7 +43,7 @@
 
 // waitForHosts returns when the readers may have changed.
 func (k *Knowledge) waitForHosts(ctx context.Context) {
-	timer := time.NewTimer(k.cfg.ExchangeInterval)
+	timer := time.NewTimer(readerCheckInterval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/knowledge/readers.go
+++ b/internal/knowledge/readers.go
@@ -14,9 +14,11 @@
 const (
 	// standInAfter is the age of knowledge at which the next hosts in the order
 	// of readers stand in.
-	standInAfter = 8 * time.Second
+	standInAfter = 6 * time.Second
 	// standInStep is the further age at which still more do.
 	standInStep = 4 * time.Second
+	// readerCheckInterval is the time between two looks at who the readers are.
+	readerCheckInterval = 500 * time.Millisecond
 	// maxReaderGroups bounds the readers, as a multiple of Config.Readers.
 	maxReaderGroups = 4
 )
--- a/internal/knowledge/spread_test.go
+++ b/internal/knowledge/spread_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"iter"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,9 +28,18 @@
 	bodies    map[uint64]int    // the content of each valid rules file, by revision
 	published map[string]uint64 // what the service offers, by key; zero if that is a bad file
 	stale     bool              // the service is down or answers as of an older revision
+	floors    []floor
 	limit     int
 }
 
+// floor is what a host must have in force when it calls itself ready: the
+// least that hosts which it reached at its start had.
+type floor struct {
+	host      *host
+	k         *knowledge.Knowledge
+	revisions map[string]uint64
+}
+
 // Whatever hosts, links and the service do: no host goes back, all hosts that
 // are connected have the same revision within the target, it is the newest one that any of
 // them had, and the service's if they reach it.
@@ -82,7 +93,7 @@
 func (m *spreadModel) step(s uint64) string {
 	a, b := int(s>>8%1024), int(s>>20%1024)
 	domain := m.hosts[a%len(m.hosts)].domain
-	switch s % 13 {
+	switch s % 15 {
 	case 0:
 		m.publishGood(a)
 		return "publish"
@@ -120,7 +131,21 @@
 	case 9:
 		m.toggle(m.cutOff, domain)
 		return "domain to others: " + domain
-	case 10, 11:
+	case 10:
+		h := m.hosts[a%len(m.hosts)]
+		if h.k != nil && m.up() > 1 {
+			m.crash(h)
+			m.lowerFloors()
+		}
+		return "crash " + h.id
+	case 11:
+		for _, h := range m.hosts {
+			if h.k == nil {
+				m.begin(h)
+			}
+		}
+		return "start all that are down"
+	case 12, 13:
 		time.Sleep(time.Duration(b) * 3 * time.Millisecond)
 		return "wait"
 	default:
@@ -145,18 +170,71 @@
 
 func (m *spreadModel) toggle(flags map[string]bool, domain string) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	flags[domain] = !flags[domain]
+	m.mu.Unlock()
+	m.lowerFloors()
 }
 
 func (m *spreadModel) restart(h *host) {
+	if h.k == nil {
+		return
+	}
 	m.crash(h)
+	m.lowerFloors()
+	m.begin(h)
+}
+
+// begin starts a host and notes what it must have when it is ready.
+func (m *spreadModel) begin(h *host) {
+	revisions := m.floorFor(h)
 	m.start(h, knowledge.Config{})
+	m.floors = append(m.floors, floor{host: h, k: h.k, revisions: revisions})
+}
+
+// floorFor returns the least that the serving hosts have that h reaches.
+func (m *spreadModel) floorFor(h *host) map[string]uint64 {
+	revisions := make(map[string]uint64)
+	for other := range m.running() {
+		cut := other.domain != h.domain && (m.cutOff[other.domain] || m.cutOff[h.domain])
+		if other == h || cut || !isReady(other.k) {
+			continue
+		}
+		for key, revision := range revisionsOf(other.k.Snapshot()) {
+			if had, ok := revisions[key]; !ok || revision < had {
+				revisions[key] = revision
+			}
+		}
+	}
+	return revisions
+}
+
+// lowerFloors forgets what starting hosts cannot hear of any more.
+func (m *spreadModel) lowerFloors() {
+	for i, f := range m.floors {
+		if !isReady(f.k) {
+			m.floors[i].revisions = m.floorFor(f.host)
+		}
+	}
+}
+
+func isReady(k *knowledge.Knowledge) bool { return k.Ready() == knowledge.Readiness{Ready: true} }
+
+func (m *spreadModel) up() int { return len(slices.Collect(m.running())) }
+
+// running yields the hosts whose process runs.
+func (m *spreadModel) running() iter.Seq[*host] {
+	return func(yield func(*host) bool) {
+		for _, h := range m.hosts {
+			if h.k != nil && !yield(h) {
+				return
+			}
+		}
+	}
 }
 
 // broken returns a promise that does not hold at the moment.
 func (m *spreadModel) broken() string {
-	for _, h := range m.hosts {
+	for h := range m.running() {
 		s := h.k.Snapshot()
 		for _, r := range s.RulesRevisions {
 			content := time.Duration(m.bodies[r.Revision]) * time.Second
@@ -165,6 +243,13 @@
 			}
 		}
 	}
+	for _, f := range m.floors {
+		for key, got := range revisionsOf(f.k.Snapshot()) {
+			if isReady(f.k) && got < f.revisions[key] {
+				return fmt.Sprintf("%s is ready with revision %d of %s, its peers had %d when it started", f.host.id, got, key, f.revisions[key])
+			}
+		}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.fault
@@ -173,7 +258,7 @@
 // settle waits for the target and checks that connected hosts agree.
 func (m *spreadModel) settle() string {
 	before := make(map[string]map[string]uint64)
-	for _, h := range m.hosts {
+	for h := range m.running() {
 		before[h.id] = revisionsOf(h.k.Snapshot())
 	}
 	time.Sleep(inForceWithin)
@@ -206,7 +291,7 @@
 // components returns the groups of hosts that reach each other.
 func (m *spreadModel) components() [][]*host {
 	groups := make(map[string][]*host)
-	for _, h := range m.hosts {
+	for h := range m.running() {
 		name := "connected"
 		if m.cutOff[h.domain] {
 			name = h.domain
@@ -260,3 +345,33 @@
 		}
 	})
 }
+
+// All readers of a domain that is cut off from the others crash at the moment
+// of a change, and the host list goes on naming them.
+func TestOthersStandInForCrashedReaders(t *testing.T) {
+	for _, hosts := range []int{5, 20, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			c := newCluster(1, hosts, 1)
+			defer c.close()
+			startAll(t, c)
+			for range 5 {
+				revision := c.publish(t, platform.RulesKey("kushiro"), rulesFile("kushiro", 2))
+				for _, h := range c.hosts {
+					if h.k.Stats().Reader {
+						c.crash(h)
+					}
+				}
+				time.Sleep(inForceWithin)
+				for _, h := range c.hosts {
+					if h.k != nil {
+						g.Expect(revisionsOf(h.k.Snapshot())[platform.RulesKey("kushiro")]).To(gomega.Equal(revision), h.id)
+					} else {
+						c.start(h, knowledge.Config{})
+					}
+				}
+				time.Sleep(time.Minute)
+			}
+		})
+	}
+}
--- a/internal/knowledge/start.go
+++ b/internal/knowledge/start.go
@@ -76,12 +76,11 @@
 	close(asked)
 	k.hearFromReaders(waitCtx)
 	backoff := platform.Backoff{First: firstBackoff, Max: maxBackoff}
+	checked := k.check(waitCtx) == nil
 	for !k.enoughAnswered() && waitCtx.Err() == nil {
-		k.askPeers(waitCtx)
-		if k.check(waitCtx) == nil && k.enoughAnswered() {
-			break
-		}
 		sleep(waitCtx, backoff.Next())
+		k.askPeers(waitCtx)
+		checked = checked || k.check(waitCtx) == nil
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -24,8 +24,9 @@
 	DefaultTimeout        = 3 * time.Second
 	DefaultReadsPerSecond = 8
 	DefaultReadBurst      = 16
-	// maxAnswerBytes bounds an answer; a body grows by a third in base64.
-	maxAnswerBytes = 2 * MaxValueBytes
+	// maxAnswerBytes bounds an answer. It leaves room for a body above the
+	// service's limit, which then is refused with a reason.
+	maxAnswerBytes = 4 * MaxValueBytes
 )
 
 // Config tells a Client where the service is and how often to ask it.
--- a/internal/platform/value.go
+++ b/internal/platform/value.go
@@ -18,7 +18,7 @@
 )
 
 // MaxValueBytes is the largest body that the service holds.
-const MaxValueBytes = 1_000_000
+const MaxValueBytes = 1 << 20
 
 // RulesKey returns the key of a partner's rules file.
 func RulesKey(partner string) string { return rulesPrefix + partner }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -27,6 +27,8 @@
 	Delay time.Duration `json:"delay"`
 	// ListLag is how far the host list and the target list are behind.
 	ListLag time.Duration `json:"list_lag"`
+	// NoLimit: bodies above the limit are taken.
+	NoLimit bool `json:"no_limit"`
 }
 
 // Stats counts calls.
@@ -70,11 +72,11 @@
 // Publish stores body under key and returns its revision. It refuses bodies
 // above the service's limit.
 func (s *Service) Publish(key string, body []byte) (uint64, error) {
-	if len(body) > platform.MaxValueBytes {
-		return 0, fmt.Errorf("the body of %q has %d bytes; the limit is %d", key, len(body), platform.MaxValueBytes)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(body) > platform.MaxValueBytes && !s.faults.NoLimit {
+		return 0, fmt.Errorf("the body of %q has %d bytes; the limit is %d", key, len(body), platform.MaxValueBytes)
+	}
 	s.revision++
 	value := platform.Value{Key: key, Revision: s.revision, Body: slices.Clone(body)}
 	s.history[key] = append(s.history[key], version{value: value, at: time.Now()})
