Prove membership, its exchange, the mesh and the orders to engines

Cause: the promises about leaving targets, late orders, the models' minimums and the weight store's rate had no proof.

--- /dev/null
+++ b/coord/membership/example_test.go
@@ -0,0 +1,41 @@
+package membership_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/coord/membership"
+)
+
+// What a target says of itself outranks a list that lags, and peers pass it on.
+func ExampleTable() {
+	clk := clock.NewManual(time.Unix(1000, 0))
+	here, there := membership.New(clk, membership.Bounds{}), membership.New(clk, membership.Bounds{})
+	for _, t := range []*membership.Table{here, there} {
+		t.SetHosts(1, []membership.Entry{{ID: "host-1", Domain: "north"}})
+		t.SetTargets(1, []membership.Entry{{ID: "engine-1", Domain: "north"}})
+	}
+	news := here.ObserveTarget("engine-1", "start-7", clk.Now(), true)
+	fmt.Println(there.TargetState("engine-1"), there.Responsible("engine-1"))
+	there.Apply(news)
+	fmt.Println(there.TargetState("engine-1"))
+	// Output:
+	// live host-1
+	// leaving
+}
+
+// A host's process is gone once a later one of the same host was seen.
+func ExampleTable_IncarnationGone() {
+	t := membership.New(clock.NewManual(time.Unix(1000, 0)), membership.Bounds{})
+	first := identity.Incarnation{Host: "host-1", Start: 9}
+	second := identity.Incarnation{Host: "host-1", Start: 4}
+	t.ObserveHost(first, time.Unix(100, 0))
+	fmt.Println(t.IncarnationGone(first))
+	t.ObserveHost(second, time.Unix(200, 0))
+	fmt.Println(t.IncarnationGone(first), t.IncarnationGone(second))
+	// Output:
+	// false
+	// true false
+}
--- a/coord/membership/fuzz_test.go
+++ b/coord/membership/fuzz_test.go
@@ -17,6 +17,8 @@
 	tables  = 3
 	members = 3
 	listLag = 30 * time.Second
+	// remembered is the number of processes of one host within which old ones must be known.
+	remembered = 8
 )
 
 // process is the true state of one process of a host or target.
@@ -41,7 +43,7 @@
 	lists   []publication // revision n is lists[n-1]
 	inForce [tables]int
 	wire    []membership.Event        // sent, may arrive late, twice or never
-	told    [tables]map[string]bool   // target processes that a table heard to be leaving
+	told    [tables]map[string]bool   // leaving target processes it heard of, host processes it met
 	marks   [tables]map[string]uint64 // newest list that a table heard to show a target as leaving
 }
 
@@ -129,6 +131,7 @@
 	table, i := pick(t, tables, "table"), pick(t, members, "host")
 	p := w.hosts[i][pick(t, len(w.hosts[i]), "process")]
 	inc, _ := identity.Parse(p.name)
+	w.told[table][p.name] = true
 	w.send(w.tables[table].ObserveHost(inc, p.started))
 }
 
@@ -201,26 +204,18 @@
 	if w.tables[n].IncarnationGone(running) {
 		t.Fatalf("table %d: running process %s is taken for gone", n, running)
 	}
-	for _, p := range w.hosts[i][:len(w.hosts[i])-1] {
+	if current, _ := w.tables[n].HostIncarnation(hostID(i)); current != running {
+		return
+	}
+	older := w.hosts[i][max(0, len(w.hosts[i])-remembered) : len(w.hosts[i])-1]
+	for _, p := range older {
 		inc, _ := identity.Parse(p.name)
-		current, known := w.tables[n].HostIncarnation(hostID(i))
-		if known && current == running && w.tables[n].IncarnationGone(inc) != w.sawBefore(n, p.name) {
-			t.Fatalf("table %d: %s gone: %v", n, inc, w.tables[n].IncarnationGone(inc))
+		if w.told[n][p.name] && !w.tables[n].IncarnationGone(inc) {
+			t.Fatalf("table %d met %s and its successor, and does not take it for gone", n, inc)
 		}
 	}
 }
 
-// sawBefore reports what the table itself must answer for an old process: it forgets none here, so
-// what it says once must stay.
-func (w *world) sawBefore(n int, name string) bool {
-	key := "gone " + name
-	inc, _ := identity.Parse(name)
-	if w.tables[n].IncarnationGone(inc) {
-		w.told[n][key] = true
-	}
-	return w.told[n][key]
-}
-
 func TestTablesAgreeWithTheOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
--- a/coord/reconcile/attempt.go
+++ b/coord/reconcile/attempt.go
@@ -156,7 +156,7 @@
 		return PhaseRecheck, false
 	case !own.Spec.sameWeights(a.want.Spec) && !a.plan.InSlot(a.want.Target, now):
 		return PhaseWaitingForSlot, false
-	case !a.want.ChecksFencing && now.Sub(confirmed) > a.r.cfg.Bounds.ConfirmedFor:
+	case a.needsConfirmation(own) && now.Sub(confirmed) > a.r.cfg.Bounds.ConfirmedFor:
 		a.r.stats.unconfirmed.Add(1)
 		return PhaseUnconfirmed, false
 	case !a.mark.Valid():
@@ -166,6 +166,14 @@
 	return PhaseDiffers, true
 }
 
+// needsConfirmation reports whether the order may go out only under a plan that was lately
+// confirmed: no number protects the target, or it stops serving and the model's minimum counts on
+// all processes having the same plan.
+func (a *attempt) needsConfirmation(own Observed) bool {
+	stops := own.Serving && !own.Spec.Equal(a.want.Spec)
+	return stops || !a.want.ChecksFencing
+}
+
 // current reports whether the plan of the attempt is still in force.
 func (a *attempt) current() bool {
 	plan, _ := a.r.plan()
--- /dev/null
+++ b/coord/reconcile/example_test.go
@@ -0,0 +1,28 @@
+package reconcile_test
+
+import (
+	"fmt"
+
+	"github.com/plantainrun/plantainrun/coord/reconcile"
+)
+
+// Two of three targets must keep serving: the first may change, the second not before that
+// is seen to serve the new version.
+func ExamplePlan_MayStopServing() {
+	old, wanted := reconcile.Spec{Model: "m", Version: "1"}, reconcile.Spec{Model: "m", Version: "2"}
+	plan := reconcile.NewPlan(7, []reconcile.Want{
+		{Target: "a", Spec: wanted}, {Target: "b", Spec: wanted}, {Target: "c", Spec: wanted},
+	}, map[string]int{"m": 2}, 0)
+	states := map[string]reconcile.Observed{
+		"a": {Spec: old, Serving: true}, "b": {Spec: old, Serving: true}, "c": {Spec: old, Serving: true},
+	}
+	fmt.Println(plan.MayStopServing("a", states), plan.MayStopServing("b", states))
+	states["a"] = reconcile.Observed{Spec: wanted, Serving: false} // loading
+	fmt.Println(plan.MayStopServing("b", states))
+	states["a"] = reconcile.Observed{Spec: wanted, Serving: true}
+	fmt.Println(plan.MayStopServing("b", states))
+	// Output:
+	// true false
+	// false
+	// true
+}
--- a/coord/reconcile/reconciler.go
+++ b/coord/reconcile/reconciler.go
@@ -30,7 +30,7 @@
 const (
 	DefaultInterval     = 5 * time.Second
 	DefaultTimeout      = 2 * time.Second
-	DefaultSettle       = 10 * time.Second
+	DefaultSettle       = DefaultConfirmedFor + DefaultTimeout
 	DefaultConfirmedFor = 10 * time.Second
 	// slotLead is how long before its slot a change is prepared.
 	slotLead = 3 * time.Second
@@ -40,8 +40,8 @@
 type Bounds struct {
 	Interval     time.Duration // between two reads of a target
 	Timeout      time.Duration // of one read or order
-	Settle       time.Duration // after a new plan, until its first order
-	ConfirmedFor time.Duration // how long a confirmation of the plan counts for targets that don't check fencing
+	Settle       time.Duration // after a new plan, until its first order; at least ConfirmedFor + Timeout
+	ConfirmedFor time.Duration // how long a confirmation of the plan counts
 }
 
 // Config is what a Reconciler works with.
@@ -77,6 +77,8 @@
 	setDefault(&cfg.Bounds.Timeout, DefaultTimeout)
 	setDefault(&cfg.Bounds.Settle, DefaultSettle)
 	setDefault(&cfg.Bounds.ConfirmedFor, DefaultConfirmedFor)
+	b := &cfg.Bounds
+	b.Settle = max(b.Settle, b.ConfirmedFor+b.Timeout)
 	if cfg.Clock == nil {
 		cfg.Clock = clock.System{}
 	}
--- /dev/null
+++ b/internal/mesh/fuzz_test.go
@@ -0,0 +1,67 @@
+package mesh
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainrun/plantainrun/internal/mesh/meshpb"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+// FuzzReadFrame reads garbage as a hello: it must end with an error or a message that encodes
+// to the same content, and hold no more memory than arrived.
+func FuzzReadFrame(f *testing.F) {
+	valid, err := encodeFrame(&meshpb.Hello{Version: 1, Host: "a", Start: 7, WantHost: "b"}, maxControlBytes)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(valid)
+	f.Add(valid[:len(valid)-1])
+	f.Add(endFrame())
+	f.Add(binary.BigEndian.AppendUint32(nil, maxControlBytes+1))
+	f.Add([]byte{0, 0, 0, 2, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		g := gomega.NewWithT(t)
+		var hello meshpb.Hello
+		if err := readFrame(bytes.NewReader(data), &hello, maxControlBytes); err != nil {
+			return
+		}
+		again, err := encodeFrame(&hello, maxControlBytes)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		var back meshpb.Hello
+		g.Expect(readFrame(bytes.NewReader(again), &back, maxControlBytes)).To(gomega.Succeed())
+		g.Expect(proto.Equal(&hello, &back)).To(gomega.BeTrue())
+	})
+}
+
+// Whatever a stranger sends to the port, the mesh refuses it and goes on.
+func TestGarbageOnThePort(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := startMesh(t, Config{Self: inc("a"), DialTimeout: 200 * time.Millisecond})
+	b := startMesh(t, Config{Self: inc("b")})
+	hello, _ := encodeFrame(&meshpb.Hello{Version: protocolVersion, Host: "b", WantHost: "a", Domain: "north"}, maxControlBytes)
+	a.SetHosts([]topology.Host{listed(a)[0], {ID: "b", Domain: "north", PeerAddr: b.Addr()}})
+	for _, sent := range [][]byte{
+		nil, // says nothing
+		[]byte("GET / HTTP/1.1\r\n\r\n"),
+		{0xff, 0xff, 0xff, 0xff},
+		append(hello, bytes.Repeat([]byte{0xa5}, 4096)...), // a good hello, then noise in place of yamux
+	} {
+		conn, err := net.Dial("tcp", a.Addr().String())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, _ = conn.Write(sent)
+		_ = conn.SetReadDeadline(time.Now().Add(settle))
+		_, err = io.Copy(io.Discard, conn) // until the mesh closes it
+		g.Expect(err).To(gomega.Or(gomega.BeNil(), gomega.MatchError(gomega.ContainSubstring("reset"))))
+		_ = conn.Close()
+	}
+	connect(a, b)
+	open(g, t, a).Close()
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -131,19 +132,25 @@
 
 func TestMessageTooLarge(t *testing.T) {
 	g := gomega.NewWithT(t)
-	a, _ := connectedPair(t, func(c *Config) {
+	a, b := connectedPair(t, func(c *Config) {
 		if c.Self.Host == "b" {
 			c.MaxMessageBytes = 100
 		}
 	})
-	st, err := a.Open(t.Context(), "b", echoing)
+	refused := make(chan error, 1)
+	b.Handle("sink", func(_ context.Context, s *Stream) error {
+		refused <- s.Recv(new(wrapperspb.BytesValue))
+		return ErrTooLarge
+	})
+	st, err := a.Open(t.Context(), "b", "sink")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer st.Close()
 	err = st.Send(wrapperspb.Bytes(make([]byte, DefaultMaxMessageBytes+1)))
 	g.Expect(err).To(gomega.MatchError(ErrTooLarge))
 	g.Expect(err).To(gomega.MatchError(ErrNotSent))
 	g.Expect(st.Send(wrapperspb.Bytes(make([]byte, 200)))).To(gomega.Succeed())
-	err = st.Recv(new(wrapperspb.BytesValue)) // the peer refuses it and ends the stream
+	g.Expect(<-refused).To(gomega.MatchError(ErrTooLarge))
+	err = st.Recv(new(wrapperspb.BytesValue)) // the peer ended the stream
 	g.Expect(err).To(gomega.MatchError(ErrAborted))
 	g.Expect(err).NotTo(gomega.MatchError(ErrNotSent))
 }
@@ -167,14 +174,18 @@
 		cfg    Config
 		listed bool
 		cause  error
+		says   string
 	}{
-		{"wrong CA", Config{Self: inc("p"), TLS: foreign.config(t, "p", false)}, true, ErrIdentity},
-		{"off the list", Config{Self: inc("p"), TLS: ca.config(t, "p", false)}, false, ErrRefused},
-		{"plain", Config{Self: inc("p")}, true, nil},
+		{"wrong CA", Config{Self: inc("p"), TLS: foreign.config(t, "p", false)}, true, nil, ""},
+		{"off the list", Config{Self: inc("p"), TLS: ca.config(t, "p", false)}, false, ErrRefused, "not on the host list"},
+		{"plain", Config{Self: inc("p")}, true, nil, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			p := startMesh(t, c.cfg)
+			if p.cfg.TLS != nil { // what the stranger itself accepts must not matter
+				p.cfg.TLS.ClientAuth, p.cfg.TLS.RootCAs = tls.RequestClientCert, good.cfg.TLS.RootCAs
+			}
 			good.SetHosts(listed(good))
 			if c.listed {
 				good.SetHosts(listed(good, p))
@@ -184,6 +195,7 @@
 			g.Expect(err).To(gomega.MatchError(ErrNotSent))
 			if c.cause != nil {
 				g.Expect(err).To(gomega.MatchError(c.cause))
+				g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(c.says)))
 			}
 			_, err = good.Open(t.Context(), "p", echoing)
 			g.Expect(err).To(gomega.MatchError(ErrNotSent))
@@ -208,16 +220,18 @@
 }
 
 // silencer forwards bytes until told to drop them, like something between the two
-// ends that lost track of a connection. Later connections work.
+// ends that lost track of a connection: neither end hears of the other again. Later
+// connections work.
 type silencer struct {
 	listener net.Listener
 	silent   chan struct{}
+	done     chan struct{}
 }
 
 func newSilencer(t testing.TB, to netip.AddrPort) *silencer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
-	s := &silencer{listener: l, silent: make(chan struct{})}
+	s := &silencer{listener: l, silent: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		for first := true; ; first = false {
 			in, err := l.Accept()
@@ -233,7 +247,7 @@
 			go s.pipe(out, in, first)
 		}
 	}()
-	t.Cleanup(func() { _ = l.Close() })
+	t.Cleanup(func() { close(s.done); _ = l.Close() })
 	return s
 }
 
@@ -243,15 +257,12 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if err != nil {
+		if first && s.isSilent() {
+			<-s.done
 			return
 		}
-		select {
-		case <-s.silent:
-			if first {
-				continue
-			}
-		default:
+		if err != nil {
+			return
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
 			return
@@ -259,6 +270,15 @@
 	}
 }
 
+func (s *silencer) isSilent() bool {
+	select {
+	case <-s.silent:
+		return true
+	default:
+		return false
+	}
+}
+
 func TestOpenReplacesASilentConnection(t *testing.T) {
 	g := gomega.NewWithT(t)
 	slow := func(c *Config) { c.HeartbeatInterval, c.OpenTimeout = time.Hour, 200*time.Millisecond }
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -70,7 +70,7 @@
 		Source:      o,
 		Responsible: func(id string) bool { return cfg.Members.Responsible(id) == cfg.Host },
 		Usable:      func(id string) bool { return cfg.Members.TargetState(id) == membership.Live },
-		Target:      o.target,
+		Target:      o.Target,
 		Bounds:      cfg.Bounds,
 	})
 	return o
@@ -123,7 +123,8 @@
 	o.planOf, o.listOf = known.PlanRevision, known.TargetsRevision
 }
 
-func (o *Orders) target(id string) reconcile.Target {
+// Target returns the means to reach an engine of the target list, nil for anything else.
+func (o *Orders) Target(id string) reconcile.Target {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t, ok := o.targets[id]
