Test which attempts of a prompt may be repeated

Cause: the rule that not_run is never said after an attempt that may have run had no test of its own. Conclusion: kept as a table of cases over the real runner.

--- /dev/null
+++ b/internal/completion/run_test.go
@@ -0,0 +1,166 @@
+package completion_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/coord/retry"
+	"github.com/plantainrun/plantainrun/coord/suspect"
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/completion"
+	"github.com/plantainrun/plantainrun/internal/metrics"
+	"github.com/plantainrun/plantainrun/internal/rules"
+	"github.com/plantainrun/plantainrun/internal/schedule"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+// step is how one attempt ends.
+type step struct {
+	outcome outcome.Outcome
+	died    bool
+	tokens  int
+}
+
+// fakes stands for everything around the runner. Each attempt takes the next
+// step; without one, no target is up.
+type fakes struct {
+	steps    []step
+	attempts int
+	targets  []string
+	released int
+}
+
+type fakeGrant struct {
+	f  *fakes
+	id string
+}
+
+func (g fakeGrant) Target() topology.Target            { return topology.Target{ID: g.id} }
+func (g fakeGrant) Priority() int                      { return 0 }
+func (g fakeGrant) FirstToken(time.Time)               {}
+func (g fakeGrant) Release(time.Time, outcome.Outcome) { g.f.released++ }
+
+func (f *fakes) Acquire(_ context.Context, req schedule.Request) (schedule.Grant, error) {
+	if f.attempts >= len(f.steps) {
+		return nil, apierror.NotRun(apierror.KindNoTarget, "come back later", "no target")
+	}
+	id := string(rune('a' + len(req.Exclude)))
+	f.targets = append(f.targets, id)
+	return fakeGrant{f, id}, nil
+}
+
+func (f *fakes) Prepare(completion.Request) (completion.Call, error) { return f, nil }
+
+func (f *fakes) Attempt(_ context.Context, _ schedule.Grant, token func(string) error) (completion.Attempt, error) {
+	s := f.steps[f.attempts]
+	f.attempts++
+	for range s.tokens {
+		if err := token("x"); err != nil {
+			return completion.Attempt{}, err
+		}
+	}
+	a := completion.Attempt{Outcome: s.outcome, Died: s.died, Tokens: s.tokens, Reason: "stop"}
+	if s.outcome == outcome.Done {
+		return a, nil
+	}
+	return a, apierror.New(apierror.KindTargetFailed, s.outcome, "ask again", "attempt failed")
+}
+
+func (f *fakes) PromptTokens(string, int) int       { return 1000 }
+func (f *fakes) Take(rules.Organisation, int) error { return nil }
+func (f *fakes) Died(string)                        {}
+func (f *fakes) Alone() bool                        { return false }
+func (f *fakes) Avoid() []string                    { return nil }
+func (f *fakes) On(string) error                    { return nil }
+func (f *fakes) End(bool)                           {}
+
+// suspects gives every run the same account.
+type suspects struct{ *fakes }
+
+func (s suspects) Acquire(context.Context, suspect.Fingerprint) (completion.SuspectRun, error) {
+	return s.fakes, nil
+}
+
+// sink collects tokens; sent ones cannot be taken back.
+type sink struct {
+	text strings.Builder
+	sent bool
+}
+
+func (s *sink) Token(text string) error {
+	s.text.WriteString(text)
+	return nil
+}
+
+func (s *sink) Reset() bool {
+	if s.sent && s.text.Len() > 0 {
+		return false
+	}
+	s.text.Reset()
+	return true
+}
+
+func run(t *testing.T, f *fakes, s *sink) error {
+	t.Helper()
+	budget, err := retry.New(retry.DefaultConfig())
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	runner := &completion.Local{
+		Estimator: f, Scheduler: f, Engines: f, Suspects: suspects{f}, Limiter: f, Retries: budget, Observer: metrics.New(), Clock: clock.System{},
+	}
+	now := time.Now()
+	_, err = runner.Run(context.Background(), completion.Request{ID: "r", Prompt: "p", MaxTokens: 5, Arrival: now, Deadline: now.Add(time.Minute)}, s)
+	return err
+}
+
+func TestRetriesOnlyWhatMayBeRepeated(t *testing.T) {
+	cases := []struct {
+		name     string
+		steps    []step
+		sent     bool // tokens leave at once
+		attempts int
+		text     string
+		run      string // of the error; "" for a whole answer
+	}{
+		{"a whole answer", []step{{outcome: outcome.Done, tokens: 3}}, true, 1, "xxx", ""},
+		{"not run goes elsewhere", []step{{outcome: outcome.NotRun}, {outcome: outcome.Done, tokens: 2}}, true, 2, "xx", ""},
+		{"lost before its first token goes elsewhere", []step{{outcome: outcome.Unknown, died: true}, {outcome: outcome.Done, tokens: 2}}, true, 2, "xx", ""},
+		{"started text is not continued by another run", []step{{outcome: outcome.Unknown, tokens: 2}, {outcome: outcome.Done, tokens: 4}}, true, 1, "xx", "unknown"},
+		{"text that is still here starts over", []step{{outcome: outcome.Unknown, tokens: 2}, {outcome: outcome.Done, tokens: 4}}, false, 2, "xxxx", ""},
+		{"a target's own failure is final", []step{{outcome: outcome.Failed}, {outcome: outcome.Done, tokens: 4}}, true, 1, "", "ran"},
+		{"nothing ran", []step{{outcome: outcome.NotRun}, {outcome: outcome.NotRun}}, true, 2, "", "not_run"},
+		{"not run is not said after an attempt that may have run", []step{{outcome: outcome.Unknown}, {outcome: outcome.NotRun}}, true, 2, "", "unknown"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f, s := &fakes{steps: c.steps}, &sink{sent: c.sent}
+			err := run(t, f, s)
+			g.Expect(f.attempts).To(gomega.Equal(c.attempts))
+			g.Expect(f.released).To(gomega.Equal(c.attempts), "every grant is released")
+			g.Expect(s.text.String()).To(gomega.Equal(c.text))
+			var e *apierror.Error
+			if c.run == "" {
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				return
+			}
+			g.Expect(errors.As(err, &e)).To(gomega.BeTrue())
+			g.Expect(e.Outcome.RunState()).To(gomega.Equal(c.run))
+		})
+	}
+}
+
+func TestPrefixesGrowWithThePrompt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	long := strings.Repeat("a", 3*completion.BlockBytes+1)
+	g.Expect(completion.Prefixes(long)).To(gomega.HaveLen(3))
+	other := long[:2*completion.BlockBytes] + strings.Repeat("b", completion.BlockBytes)
+	g.Expect(completion.Prefixes(other)[:2]).To(gomega.Equal(completion.Prefixes(long)[:2]))
+	g.Expect(completion.Prefixes(other)[2]).NotTo(gomega.Equal(completion.Prefixes(long)[2]))
+}
