--- a/internal/schedule/local.go
+++ b/internal/schedule/local.go
@@ -210,7 +210,7 @@
 		need: req.PromptTokens + req.MaxTokens, until: req.Deadline.Add(l.cfg.Grace),
 	}
 	w.shape = r.pool.shape(&w.req, l.objective(req.Partner), l.cfg.Estimator.Rates(r.model))
-	w.priority = l.cfg.Policy.Priority(&w.req, w.shape)
+	w.priority = r.pool.policy.Priority(now, &w.req, w.shape)
 	if err := r.pool.offer(now, w); err != nil {
 		return nil, err
 	}
@@ -344,6 +344,10 @@
 	}
 }
 
+// Keeps reports whether this host keeps to its own part of the target's memory,
+// in answer to a peer that started anew.
+func (l *Local) Keeps(now time.Time, target string) bool { return l.ledger.Keeps(now, target) }
+
 // Settled tells that every other host which shares the target's memory has
 // confirmed that it keeps to its part.
 func (l *Local) Settled(now time.Time, target string) {
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -21,6 +21,7 @@
 type pool struct {
 	cfg    *Config
 	ledger *memory.Ledger
+	policy Policy
 
 	mu      sync.Mutex
 	targets map[string]*targetState
@@ -64,7 +65,7 @@
 
 func newPool(cfg *Config, ledger *memory.Ledger) *pool {
 	return &pool{
-		cfg: cfg, ledger: ledger,
+		cfg: cfg, ledger: ledger, policy: cfg.NewPolicy(),
 		targets: map[string]*targetState{},
 		queue:   fairqueue.New[*waiter](cfg.Queues),
 		queued:  map[rules.Class]float64{},
@@ -152,6 +153,7 @@
 		return
 	}
 	var seen misses
+	p.startClaimed(now, &seen)
 	for {
 		it := p.queue.Offer(lookahead, func(it *fairqueue.Item[*waiter]) bool { return p.start(now, it.Value, &seen) })
 		if it == nil {
@@ -162,6 +164,18 @@
 	p.pursueClaim(now)
 }
 
+// startClaimed tries the request that claims memory first: many requests of its
+// organisation may be queued before it.
+func (p *pool) startClaimed(now time.Time, seen *misses) {
+	if p.claim == nil {
+		return
+	}
+	w := p.claim.waiter
+	if p.start(now, w, seen) && p.queue.Take(&w.item) {
+		p.left(w)
+	}
+}
+
 func (p *pool) expire(now time.Time) {
 	for _, it := range p.queue.Expire(now) {
 		w := it.Value
@@ -222,7 +236,7 @@
 	}
 	lacking := p.gather(now, w)
 	if len(p.candidates) > 0 {
-		if i := p.cfg.Policy.Choose(now, &w.req, w.shape, p.candidates); i >= 0 && p.grant(now, w, i) {
+		if i := p.policy.Choose(now, &w.req, w.shape, p.candidates); i >= 0 && p.grant(now, w, i) {
 			return true
 		}
 	}
@@ -245,7 +259,7 @@
 		c := w.route.candidate(i)
 		c.Free = p.free(now, w, t)
 		if c.Free < w.need {
-			lacking = lacking || (w.need <= t.memory && p.cfg.Policy.Enters(w.shape, &c))
+			lacking = lacking || (w.need <= t.memory && p.policy.Enters(w.shape, &c))
 			continue
 		}
 		t.estimate(now, &c, p.prefillLeft(w, t), w.priority, w.shape.Class)
