--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -26,8 +26,9 @@
 const (
 	// maxFaults bounds the connections in a row that break without a new token.
 	maxFaults = 4
-	// maxDials bounds the connections in a row that could not be opened.
-	maxDials = 2
+	// maxUnanswered bounds the new connections in a row that could not be opened
+	// or brought no header.
+	maxUnanswered = 2
 	// maxContradictions bounds the wrong answers within one attempt.
 	maxContradictions = 8
 	firstPause        = 20 * time.Millisecond
@@ -92,10 +93,10 @@
 	resubmitted bool // it went again
 	// closed is set when a connection ended, which is also how an engine that
 	// the prompt crashed looks: the prompt must not go there again.
-	closed bool
-	faults int // broken connections since the last token
-	dials  int // connections in a row that could not be opened
-	wrong  int // contradictions
+	closed     bool
+	faults     int // broken connections since the last token
+	unanswered int // new connections in a row without an answer
+	wrong      int // contradictions
 }
 
 // mayRun reports whether the engine may still hold the stream.
@@ -151,7 +152,7 @@
 		a.client.resubmits.Add(1)
 	case f.contradicts() && (a.faults > maxFaults || a.wrong > maxContradictions):
 		return a.fail(KindIncomplete, f)
-	case a.faults > maxFaults || a.dials > maxDials:
+	case a.faults > maxFaults || a.unanswered > maxUnanswered:
 		return a.lost(f, f == faultRefused)
 	}
 	return nil
