Measure slowdown, and test quiet logs, operators' keys and hosts' certificates

Cause: Aarhus's measure had a histogram that nothing filled, and mutual TLS no test with separate processes. Figures: 1,000 requests write 0 log lines and count 1,001 in each histogram; a host with another authority's certificate gets peer_unreachable for a ticket of the others. Before: the slowdown count was missing from the metrics. Conclusion: slowdown is the time to the first token over prefill and one token on an idle engine, by the rates learned from reports.

--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -93,11 +93,15 @@
 type Observer interface {
 	Attempt(target string, result outcome.Outcome)
 	Tokens(partner string, prompt, output int)
+	// Slowdown records the time to the first token over that on an idle engine.
+	Slowdown(class rules.Class, partner string, ratio float64)
 }
 
-// Estimator turns prompts into tokens.
+// Estimator turns prompts into tokens and tokens into time.
 type Estimator interface {
 	PromptTokens(model string, bytes int) int
+	// IdleFirstToken is the time to the first token on an idle engine.
+	IdleFirstToken(model string, promptTokens int) time.Duration
 }
 
 // Local runs prompts on the targets of the host's own failure domain, and
@@ -243,6 +247,7 @@
 		if !seen {
 			seen = true
 			grant.FirstToken(r.Clock.Now())
+			r.observeSlowdown(r.Clock.Now())
 		}
 		return r.sink.Token(text)
 	})
@@ -255,6 +260,14 @@
 	return attempt, err
 }
 
+// observeSlowdown records the first token that the caller gets.
+func (r *run) observeSlowdown(at time.Time) {
+	idle := r.Estimator.IdleFirstToken(r.req.Model, r.tokens)
+	if idle > 0 {
+		r.Observer.Slowdown(rules.ClassOf(r.tokens), r.req.Partner, max(1, float64(at.Sub(r.req.Arrival))/float64(idle)))
+	}
+}
+
 // mayRetry returns nil when another attempt is allowed, or the final error.
 // Text that already left is never continued by another run.
 func (r *run) mayRetry(ctx context.Context, target string, attempt Attempt, cause error) error {
--- /dev/null
+++ b/internal/e2e/operate_test.go
@@ -0,0 +1,161 @@
+package e2e_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+)
+
+// A thousand quiet requests write no line to the log; what they did is in the
+// counters.
+func TestQuietRequestsWriteNoLogLines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(t, 1, 1, "--answer-tokens=1", "--decode-interval=1ms")
+	h := c.hosts[0]
+	_, err := prompt(h, "the first one", 1, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	before := string(h.Err.Contents())
+	for i := range 1000 {
+		a, err := prompt(h, fmt.Sprint("question ", i), 1, 0)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(a.whole).To(gomega.BeTrue(), "%+v", a)
+	}
+	g.Expect(strings.TrimPrefix(string(h.Err.Contents()), before)).To(gomega.BeEmpty())
+	metrics := h.metrics(t)
+	g.Expect(metrics).To(gomega.ContainSubstring(`plantainrun_first_token_seconds_count{class="short",partner="kushiro"} 1001`))
+	g.Expect(metrics).To(gomega.ContainSubstring(`plantainrun_slowdown_ratio_count{class="short",partner="kushiro"} 1001`))
+	g.Expect(metrics).To(gomega.ContainSubstring(`plantainrun_attempts_total{outcome="done",target="sapporo-engine-1"} 1001`))
+}
+
+func (h *host) metrics(t *testing.T) string {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+h.operators.String()+"/metrics", nil)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+operatorKey)
+	r, err := roundTrip(req)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return r.body
+}
+
+// The operators' interface wants its key, and is not on the callers' listener.
+func TestOperatorsInterfaceIsApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(t, 1, 1)
+	h := c.hosts[0]
+	for _, path := range []string{"/metrics", "/v1/status", "/v1/audit"} {
+		resp, err := http.Get("http://" + h.operators.String() + path)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		resp.Body.Close()
+		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusUnauthorized), path)
+		resp, err = http.Get(h.url(path))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		resp.Body.Close()
+		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusNotFound), path)
+	}
+}
+
+// Hosts prove themselves to each other with certificates; a host with another
+// authority's certificate gets no link, and its tickets cannot be used there.
+func TestHostsProveThemselves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ours, theirs := newAuthority(t), newAuthority(t)
+	c := prepareCluster(t, 3, 1)
+	for i, h := range c.hosts {
+		authority := ours
+		if i == 2 {
+			authority = theirs
+		}
+		h.start(t, authority.flags(t, h.id)...)
+	}
+	for _, h := range c.hosts {
+		h.waitReady(t)
+	}
+	ticket := newTicket(t, c.hosts[0], "seat 1")
+	g.Eventually(func() int { return status(callService(c.hosts[1], ticket, "seat 1")) }, stateWait).Should(gomega.Equal(http.StatusCreated))
+	stranger, err := callService(c.hosts[2], ticket, "seat 1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(stranger.err.Kind).To(gomega.Equal("peer_unreachable"), stranger.body)
+	g.Expect(c.hosts[0].run(t, "status")).NotTo(gomega.MatchRegexp(`sapporo-3@\S+ +up`))
+}
+
+func TestPlainPeersAreRefusedBeyondLoopback(t *testing.T) {
+	session := startProcess(t, "serve", "--host-id=a", "--partner=kushiro", "--failure-domain=d",
+		"--platform-addr=127.0.0.1:1", "--peers-addr=192.0.2.1:7000", "--peer-plain")
+	g := gomega.NewWithT(t)
+	g.Eventually(session, startWait).Should(gexec.Exit(2))
+	g.Expect(string(session.Err.Contents())).To(gomega.ContainSubstring("not a loopback address"))
+}
+
+func status(r reply, err error) int {
+	if err != nil {
+		return 0
+	}
+	return r.status
+}
+
+// authority signs the certificates of hosts.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	dir  string
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{dir: t.TempDir()}
+	a.cert = &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "hosts"}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	a.key = a.sign(t, "ca", a.cert, nil)
+	return a
+}
+
+// sign writes NAME.pem and NAME.key.
+func (a *authority) sign(t *testing.T, name string, template *x509.Certificate, signer *ecdsa.PrivateKey) *ecdsa.PrivateKey {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	if signer == nil {
+		signer = key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, signer)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	a.write(t, name+".pem", "CERTIFICATE", der)
+	a.write(t, name+".key", "PRIVATE KEY", raw)
+	return key
+}
+
+func (a *authority) write(t *testing.T, name, kind string, der []byte) {
+	t.Helper()
+	body := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	gomega.NewWithT(t).Expect(os.WriteFile(filepath.Join(a.dir, name), body, 0o600)).To(gomega.Succeed())
+}
+
+// flags signs a certificate for the host and returns the settings that use it.
+func (a *authority) flags(t *testing.T, id string) []string {
+	t.Helper()
+	a.sign(t, id, &x509.Certificate{
+		SerialNumber: big.NewInt(2), DNSNames: []string{id}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}, a.key)
+	file := func(name string) string { return filepath.Join(a.dir, name) }
+	return []string{"--peer-ca=" + file("ca.pem"), "--peer-cert=" + file(id+".pem"), "--peer-key=" + file(id+".key")}
+}
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -97,8 +97,11 @@
 	args := append([]string{
 		"serve", "--host-id=" + h.id, "--partner=" + h.partner, "--failure-domain=" + h.domain,
 		"--callers-addr=" + h.callers.String(), "--peers-addr=" + h.peers.String(), "--operators-addr=" + h.operators.String(),
-		"--platform-addr=" + h.platform.String(), "--balancer-wait=200ms", "--first-wait=1s", "--peer-plain",
+		"--platform-addr=" + h.platform.String(), "--balancer-wait=200ms", "--first-wait=1s",
 	}, extra...)
+	if len(extra) == 0 {
+		args = append(args, "--peer-plain")
+	}
 	h.Session = startProcess(t, args...)
 }
 
@@ -150,6 +153,19 @@
 // newCluster starts a platform, engines and services in domain "sapporo", and
 // the given number of hosts there.
 func newCluster(t *testing.T, hosts, engines int, engineArgs ...string) *cluster {
+	t.Helper()
+	c := prepareCluster(t, hosts, engines, engineArgs...)
+	for _, h := range c.hosts {
+		h.start(t)
+	}
+	for _, h := range c.hosts {
+		h.waitReady(t)
+	}
+	return c
+}
+
+// prepareCluster starts all but the hosts.
+func prepareCluster(t *testing.T, hosts, engines int, engineArgs ...string) *cluster {
 	t.Helper()
 	c := &cluster{platform: startStandin(t, "platform")}
 	for i := range engines {
@@ -173,12 +189,6 @@
 		c.hosts = append(c.hosts, h)
 	}
 	c.publishAll(t)
-	for _, h := range c.hosts {
-		h.start(t)
-	}
-	for _, h := range c.hosts {
-		h.waitReady(t)
-	}
 	return c
 }
 
--- a/internal/server/engines.go
+++ b/internal/server/engines.go
@@ -29,6 +29,12 @@
 // PromptTokens estimates the tokens of a prompt of so many bytes.
 func (e estimate) PromptTokens(model string, bytes int) int { return e.Tokens(model, bytes) }
 
+// IdleFirstToken is the time to the first token on an idle engine.
+func (e estimate) IdleFirstToken(model string, promptTokens int) time.Duration {
+	rates := e.Rates(model)
+	return rates.PrefillTime(float64(promptTokens)) + rates.DecodeTime(1)
+}
+
 // engines adapts the engines' client to completion.Engines.
 type engines struct {
 	client      *engine.Client
