--- a/coord/share/members.go
+++ b/coord/share/members.go
@@ -13,32 +13,39 @@
 	// Retire is how long a vanished host still counts.
 	Retire time.Duration
 
-	seen map[string]time.Time // last time on the list
+	live     []string
+	vanished map[string]time.Time // when the host was no longer on the list
 }
 
 // Set takes a list of the hosts. Those that left gracefully no longer count.
 func (m *Members) Set(now time.Time, live, left []string) {
-	if m.seen == nil {
-		m.seen = map[string]time.Time{}
+	if m.vanished == nil {
+		m.vanished = map[string]time.Time{}
 	}
+	for _, h := range m.live {
+		if !slices.Contains(live, h) {
+			m.vanished[h] = now
+		}
+	}
+	m.live = slices.Clone(live)
 	for _, h := range live {
-		m.seen[h] = now
+		delete(m.vanished, h)
 	}
 	for _, h := range left {
-		delete(m.seen, h)
+		delete(m.vanished, h)
 	}
 }
 
 // Counted returns the hosts that count at now, sorted.
 func (m *Members) Counted(now time.Time) []string {
-	hosts := make([]string, 0, len(m.seen))
-	for h, at := range m.seen {
-		if now.Sub(at) > m.Retire {
-			delete(m.seen, h)
+	hosts := slices.Clone(m.live)
+	for h, at := range m.vanished {
+		if now.Sub(at) >= m.Retire {
+			delete(m.vanished, h)
 			continue
 		}
 		hosts = append(hosts, h)
 	}
 	slices.Sort(hosts)
-	return hosts
+	return slices.Compact(hosts)
 }
--- a/internal/schedule/local.go
+++ b/internal/schedule/local.go
@@ -9,7 +9,6 @@
 	"github.com/plantainrun/plantainrun/coord/share"
 	"github.com/plantainrun/plantainrun/internal/apierror"
 	"github.com/plantainrun/plantainrun/internal/engineapi"
-	"github.com/plantainrun/plantainrun/internal/memory"
 	"github.com/plantainrun/plantainrun/internal/rules"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
@@ -22,8 +21,7 @@
 // as well; Acquire blocks in real time. It is safe for concurrent use: the
 // state of each model has its own lock.
 type Local struct {
-	cfg    Config
-	ledger *memory.Ledger
+	cfg Config
 
 	mu      sync.RWMutex
 	pools   map[string]*pool // by the model that engines serve
@@ -40,10 +38,8 @@
 // New returns a Local without targets.
 func New(cfg Config) *Local {
 	cfg = cfg.withDefaults()
-	split := share.Config{Self: cfg.Incarnation, Settle: cfg.Settle}
 	return &Local{
 		cfg:     cfg,
-		ledger:  memory.NewLedger(split),
 		pools:   map[string]*pool{},
 		targets: map[string]*pool{},
 		routes:  map[routeKey]*route{},
@@ -70,7 +66,8 @@
 }
 
 // SetHosts takes the live entry hosts of the failure domain, this one
-// included, and those that left gracefully.
+// included, and those that left gracefully. Call it with each refresh of the
+// list, also when nothing changed, so that vanished hosts retire.
 func (l *Local) SetHosts(live, left []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -115,7 +112,7 @@
 	}
 	for model := range byModel {
 		if _, ok := l.pools[model]; !ok {
-			l.pools[model] = newPool(&l.cfg, l.ledger)
+			l.pools[model] = newPool(&l.cfg)
 			l.setWeightsLocked(l.pools[model])
 		}
 	}
@@ -338,21 +335,24 @@
 
 // Returned takes back a loan that a peer gave up.
 func (l *Local) Returned(now time.Time, target string, id share.LoanID) {
-	l.ledger.Returned(now, target, id)
 	if p, ok := l.poolOf(target); ok {
+		p.ledger.Returned(now, target, id)
 		p.poll(now)
 	}
 }
 
 // Keeps reports whether this host keeps to its own part of the target's memory,
 // in answer to a peer that started anew.
-func (l *Local) Keeps(now time.Time, target string) bool { return l.ledger.Keeps(now, target) }
+func (l *Local) Keeps(now time.Time, target string) bool {
+	p, ok := l.poolOf(target)
+	return !ok || p.ledger.Keeps(now, target)
+}
 
 // Settled tells that every other host which shares the target's memory has
 // confirmed that it keeps to its part.
 func (l *Local) Settled(now time.Time, target string) {
-	l.ledger.Settled(now, target)
 	if p, ok := l.poolOf(target); ok {
+		p.ledger.Settled(now, target)
 		p.poll(now)
 	}
 }
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/plantainrun/plantainrun/coord/share"
 	"github.com/plantainrun/plantainrun/internal/apierror"
 	"github.com/plantainrun/plantainrun/internal/cost"
 	"github.com/plantainrun/plantainrun/internal/engineapi"
@@ -63,9 +64,10 @@
 	blocked   time.Time // since when only memory is missing
 }
 
-func newPool(cfg *Config, ledger *memory.Ledger) *pool {
+func newPool(cfg *Config) *pool {
+	split := share.Config{Self: cfg.Incarnation, Settle: cfg.Settle}
 	return &pool{
-		cfg: cfg, ledger: ledger, policy: cfg.NewPolicy(),
+		cfg: cfg, ledger: memory.NewLedger(split), policy: cfg.NewPolicy(),
 		targets: map[string]*targetState{},
 		queue:   fairqueue.New[*waiter](cfg.Queues),
 		queued:  map[rules.Class]float64{},
@@ -256,22 +258,27 @@
 		if !p.enterable(now, w, t) {
 			continue
 		}
-		c := w.route.candidate(i)
+		p.candidates = append(p.candidates, w.route.candidate(i))
+		c := &p.candidates[len(p.candidates)-1]
 		c.Free = p.free(now, w, t)
 		if c.Free < w.need {
-			lacking = lacking || (w.need <= t.memory && p.policy.Enters(w.shape, &c))
+			lacking = lacking || (w.need <= t.memory && p.policy.Enters(w.shape, c))
+			p.dropLast()
 			continue
 		}
-		t.estimate(now, &c, p.prefillLeft(w, t), w.priority, w.shape.Class)
+		t.estimate(now, c, p.prefillLeft(w, t), w.priority, w.shape.Class)
 		if !w.inTime(now, c.FirstToken) {
+			p.dropLast()
 			continue
 		}
-		p.candidates = append(p.candidates, c)
 		p.places = append(p.places, place{target: t})
 	}
 	return lacking
 }
 
+// dropLast takes back the candidate that was added last.
+func (p *pool) dropLast() { p.candidates = p.candidates[:len(p.candidates)-1] }
+
 func (p *pool) gatherGroups(now time.Time, w *waiter) (lacking bool) {
 	for i := range w.route.groups {
 		g := &w.route.groups[i]
--- a/internal/schedule/snapshot.go
+++ b/internal/schedule/snapshot.go
@@ -80,7 +80,13 @@
 }
 
 // Reserved is how many tokens of a target's memory this host has promised.
-func (l *Local) Reserved(target string) int { return l.ledger.Used(target) }
+func (l *Local) Reserved(target string) int {
+	p, ok := l.poolOf(target)
+	if !ok {
+		return 0
+	}
+	return p.ledger.Used(target)
+}
 
 func (p *pool) snapshot(now time.Time, model string) ([]TargetSnapshot, ModelSnapshot) {
 	p.mu.Lock()
