--- a/internal/schedule/fleet_test.go
+++ b/internal/schedule/fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/plantainrun/plantainrun/coord/outcome"
 	"github.com/plantainrun/plantainrun/coord/share"
 	"github.com/plantainrun/plantainrun/internal/engineapi"
+	"github.com/plantainrun/plantainrun/internal/rules"
 	"github.com/plantainrun/plantainrun/internal/schedule"
 	"github.com/plantainrun/plantainrun/internal/standin/enginemodel"
 	"github.com/plantainrun/plantainrun/internal/topology"
@@ -133,7 +134,8 @@
 }
 
 // With equal weights each organisation with demand gets at least nine tenths of
-// its fair share of each ten seconds, whatever another one of its partner sends.
+// its fair share of each ten seconds, whatever another one of its partner sends
+// and whatever weights and objective that partner's rules have.
 func TestFairShareUnderABurst(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const engines, window, windows = 2, 10 * time.Second, 6
@@ -147,6 +149,12 @@
 		}, epoch, uint64(i))
 	}
 	d := newDesk(targets...)
+	d.local.SetRules([]rules.Set{
+		{Partner: "p", Objective: rules.ObjectiveFirstToken, Organisations: []rules.Organisation{
+			{Name: "burst", Weight: 50}, {Name: "small", Weight: 50},
+		}},
+		{Partner: "q", Objective: rules.ObjectiveSlowdown, Organisations: []rules.Organisation{{Name: "only", Weight: 1}}},
+	})
 	// Two organisations of p, one of which sends ten times as much in larger prompts, and one of q.
 	flows := []struct {
 		partner, org  string
