--- a/internal/engine/consume.go
+++ b/internal/engine/consume.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 
 	"github.com/plantainrun/plantainrun/coord/outcome"
@@ -20,15 +21,18 @@
 
 // consume passes the tokens of one connection on. It returns nil when the
 // answer is whole, an *Error when the attempt has ended, and otherwise a fault.
-func (a *attempt) consume(x *exchange) error {
+// Once the attempt is over no token is passed on, not even one that came before.
+func (a *attempt) consume(ctx context.Context, x *exchange) error {
 	lines := bufio.NewScanner(x.resp.Body)
 	lines.Buffer(nil, longestLine)
+	lines.Split(wholeLine)
+	before := a.result.Tokens
 	for {
 		x.expect(a.client.bounds.Token(a.remaining()))
 		ok := lines.Scan()
 		x.rest()
-		if !ok {
-			return a.readEnded(x, lines.Err())
+		if !ok || a.over(ctx) {
+			return a.readEnded(x, lines.Err(), a.result.Tokens > before)
 		}
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
@@ -46,14 +50,24 @@
 	}
 }
 
-// readEnded classifies the end of a connection before the end marker. Silence
-// before the first token may be the prefill of a long prompt: the engine is
-// then only asked again, and no other connection is suspected.
-func (a *attempt) readEnded(x *exchange, err error) error {
+// wholeLine is a bufio.SplitFunc of lines that leaves out a last line without
+// its newline.
+func wholeLine(data []byte, _ bool) (int, []byte, error) {
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return i + 1, data[:i], nil
+	}
+	return 0, nil, nil
+}
+
+// readEnded classifies the end of a connection before the end marker. A
+// connection that brought the header but no token yet may be waiting for a long
+// prefill or a slow engine: the engine is then only asked again, without end
+// until the time limit, and no other connection is suspected.
+func (a *attempt) readEnded(x *exchange, err error, flowed bool) error {
 	silent := x.silent()
 	x.abandon()
 	switch {
-	case silent && a.result.Tokens == 0:
+	case silent && !flowed:
 		a.faults = 0
 		return faultSilent
 	case silent:
