Rebuild the targets only when the hosts that count have changed

Cause: the host list is told again with each refresh, and each time the sharers of all targets were worked out anew.

--- a/internal/schedule/local.go
+++ b/internal/schedule/local.go
@@ -30,6 +30,7 @@
 	listed  []topology.Target
 	sets    map[string]rules.Set
 	members share.Members
+	counted []string // hosts that count, as of the last rebuild
 	domains map[string]DomainLoad
 }
 
@@ -71,8 +72,11 @@
 func (l *Local) SetHosts(live, left []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.members.Set(l.cfg.Clock.Now(), live, left)
-	l.rebuildLocked()
+	now := l.cfg.Clock.Now()
+	l.members.Set(now, live, left)
+	if !slices.Equal(l.members.Counted(now), l.counted) {
+		l.rebuildLocked()
+	}
 }
 
 // SetRules takes the rules in force, one set for each partner.
@@ -102,7 +106,8 @@
 // rebuildLocked brings the pools in line with the targets and hosts.
 func (l *Local) rebuildLocked() {
 	now := l.cfg.Clock.Now()
-	hosts := l.members.Counted(now)
+	l.counted = l.members.Counted(now)
+	hosts := l.counted
 	if len(hosts) == 0 {
 		hosts = []string{l.cfg.Self}
 	}
