Ask peers while a new host waits its turn at the service

Cause: right after the start, links may still be coming up; a host that found none waited out its random turn, up to 4 s, though a peer could tell it the host list a moment later. Ruled out: a smaller spread, which at the target size brings the first reads of all hosts together over the service's rate. Measured: go test ./internal/knowledge passes (22.7 s).

--- a/internal/knowledge/start.go
+++ b/internal/knowledge/start.go
@@ -75,29 +75,47 @@
 	k.learnHosts(waitCtx)
 	close(asked)
 	k.hearFromReaders(waitCtx)
-	backoff := platform.Backoff{First: firstBackoff, Max: maxBackoff}
-	checked := k.check(waitCtx) == nil
-	for !k.enoughAnswered() && waitCtx.Err() == nil {
-		sleep(waitCtx, backoff.Next())
-		k.askPeers(waitCtx)
-		checked = checked || k.check(waitCtx) == nil
-	}
+	k.askUntilEnough(waitCtx)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.start.over = true
 	k.start.expired = waitCtx.Err() != nil
 }
 
+// askUntilEnough asks the service until it answered, with backoff, and peers
+// until enough of them did.
+func (k *Knowledge) askUntilEnough(ctx context.Context) {
+	backoff := platform.Backoff{First: firstBackoff, Max: maxBackoff}
+	checked, next := false, time.Now()
+	for ctx.Err() == nil {
+		if !checked && !time.Now().Before(next) {
+			checked = k.check(ctx) == nil
+			next = time.Now().Add(backoff.Next())
+		}
+		if k.enoughAnswered() {
+			return
+		}
+		k.askPeers(ctx)
+		if !k.enoughAnswered() {
+			sleep(ctx, k.jittered(startAskInterval))
+		}
+	}
+}
+
 // learnHosts asks peers for the host list, and else the service after a random
 // wait, for all hosts may be starting at the same time.
 func (k *Knowledge) learnHosts(ctx context.Context) {
-	if k.askPeers(ctx); k.Snapshot().HostsRevision > 0 {
-		return
-	}
 	if _, alone := k.cfg.Links.(noLinks); !alone {
-		sleep(ctx, k.below(k.cfg.StartSpread))
+		spread, cancel := context.WithTimeout(ctx, k.below(k.cfg.StartSpread))
+		defer cancel()
+		for k.Snapshot().HostsRevision == 0 && spread.Err() == nil {
+			k.askPeers(spread) // links may still be coming up
+			sleep(spread, k.jittered(startAskInterval/2))
+		}
+	}
+	if k.Snapshot().HostsRevision == 0 {
+		_ = k.read(ctx, platform.KeyHosts) // read again by check or a watch
 	}
-	_ = k.read(ctx, platform.KeyHosts) // read again by check or a watch
 }
 
 // hearFromReaders gives the readers time to spread what they read, so that not
