Count the mesh's bytes below TLS; prove its shutdown and connections on demand

The counters sat above TLS and so left out records and handshakes. Now they sit on the connection itself.

The exchange with a random host came every tenth time and cost a TLS handshake at both ends each 10 s; now every thirtieth, at a time of its own per host.

Proofs with the mechanism off: a shutdown that doesn't wait hangs the test at 60 s, without the write deadline TestWatchEndsWithThePeer waits in vain, with dials not shared TestConnectionOnDemand counts more than one, with idle connections kept it never sees zero sessions.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -26,7 +26,7 @@
 const (
 	// sampleEvery is the number of exchanges of which one goes to a random host in place
 	// of a link, so that parts of the fleet without a link between them still meet.
-	sampleEvery = 10
+	sampleEvery = 30
 	// sweepEvery is the number of intervals between two sweeps of the table.
 	sweepEvery = 5
 	// unreachableDials is the number of unanswered dials after which a host is suspected.
@@ -101,6 +101,7 @@
 	}
 	g := &Gossip{cfg: cfg, wake: make(chan struct{}, 1)}
 	g.random = rand.New(rand.NewPCG(cfg.Self.Start, uint64(len(cfg.Self.Host))))
+	g.round = g.random.IntN(sampleEvery) // hosts that started together sample at different times
 	cfg.Transport.Serve(g.handle)
 	return g
 }
--- a/internal/mesh/ca_test.go
+++ b/internal/mesh/ca_test.go
@@ -16,14 +16,15 @@
 	"github.com/onsi/gomega"
 )
 
-// testCA signs host certificates for tests.
-type testCA struct {
+// TestCA signs host certificates for tests.
+type TestCA struct {
 	cert *x509.Certificate
 	key  *ecdsa.PrivateKey
 	pem  []byte
 }
 
-func newTestCA(t testing.TB) *testCA {
+// NewTestCA returns a fresh authority.
+func NewTestCA(t testing.TB) *TestCA {
 	g := gomega.NewWithT(t)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -36,11 +37,11 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	cert, err := x509.ParseCertificate(der)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	return &testCA{cert: cert, key: key, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+	return &TestCA{cert: cert, key: key, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
 }
 
 // issue returns the keys of a host; asURI names it by URI in place of DNS name.
-func (ca *testCA) issue(t testing.TB, host string, asURI bool) PEM {
+func (ca *TestCA) issue(t testing.TB, host string, asURI bool) PEM {
 	g := gomega.NewWithT(t)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -65,7 +66,8 @@
 	}
 }
 
-func (ca *testCA) config(t testing.TB, host string, asURI bool) *tls.Config {
+// Config returns the TLS configuration of a host.
+func (ca *TestCA) Config(t testing.TB, host string, asURI bool) *tls.Config {
 	cfg, err := NewTLSConfig(ca.issue(t, host, asURI))
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	return cfg
--- a/internal/mesh/handshake.go
+++ b/internal/mesh/handshake.go
@@ -54,13 +54,14 @@
 }
 
 func (m *Mesh) dialHello(ctx context.Context, raw net.Conn, host string) (*session, error) {
-	conn := &countedConn{Conn: raw, traffic: &m.traffic}
+	wire := &countedConn{Conn: raw, traffic: &m.traffic}
+	var conn net.Conn = wire
 	if m.cfg.TLS != nil {
-		secure := tls.Client(conn.Conn, clientConfig(m.cfg.TLS, host))
+		secure := tls.Client(wire, clientConfig(m.cfg.TLS, host))
 		if err := secure.HandshakeContext(ctx); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrIdentity, err)
 		}
-		conn.Conn = secure
+		conn = secure
 	}
 	if err := writeFrame(conn, m.hello(host, "")); err != nil {
 		return nil, err
@@ -75,7 +76,7 @@
 	if answer.GetHost() != host {
 		return nil, fmt.Errorf("%w: wanted %q, got %q", ErrIdentity, host, answer.GetHost())
 	}
-	return m.newSession(conn, &answer, true)
+	return m.newSession(conn, wire, &answer, true)
 }
 
 func (m *Mesh) hello(want, refusal string) *meshpb.Hello {
@@ -119,14 +120,15 @@
 }
 
 func (m *Mesh) acceptHello(raw net.Conn) (*session, error) {
-	conn := &countedConn{Conn: raw, traffic: &m.traffic}
+	wire := &countedConn{Conn: raw, traffic: &m.traffic}
+	var conn net.Conn = wire
 	var names []string
 	if m.cfg.TLS != nil {
-		secure := tls.Server(conn.Conn, m.cfg.TLS)
+		secure := tls.Server(wire, m.cfg.TLS)
 		if err := secure.HandshakeContext(m.ctx); err != nil {
 			return nil, err
 		}
-		conn.Conn = secure
+		conn = secure
 		names = certificateHosts(secure.ConnectionState())
 	}
 	var hello meshpb.Hello
@@ -140,7 +142,7 @@
 	if err := writeFrame(conn, m.hello("", "")); err != nil {
 		return nil, err
 	}
-	return m.newSession(conn, &hello, false)
+	return m.newSession(conn, wire, &hello, false)
 }
 
 // refusal says why a hello is not accepted; empty: it is.
--- /dev/null
+++ b/internal/mesh/lifecycle_test.go
@@ -0,0 +1,124 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+)
+
+// A graceful shutdown refuses new streams and lets those in progress finish.
+func TestShutdownFinishesStreamsInProgress(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := connectedPair(t, nil)
+	finish := make(chan struct{})
+	b.Handle("long", func(_ context.Context, s *Stream) error {
+		<-finish
+		return s.Send(wrapperspb.String("whole"))
+	})
+	st, err := a.Open(t.Context(), "b", "long")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer st.Close()
+	done := make(chan error, 1)
+	go func() { done <- b.Shutdown(t.Context()) }()
+	g.Eventually(func() error {
+		extra, err := a.Open(t.Context(), "b", echoing)
+		if err == nil {
+			_ = extra.Close()
+		}
+		return err
+	}, settle).Should(gomega.MatchError(ErrClosing))
+	close(finish)
+	var answer wrapperspb.StringValue
+	g.Expect(st.Recv(&answer)).To(gomega.Succeed())
+	g.Expect(answer.GetValue()).To(gomega.Equal("whole"))
+	_ = st.Close()
+	g.Expect(<-done).To(gomega.Succeed())
+}
+
+// A shutdown whose time is up cuts streams off and says so.
+func TestShutdownEndsWithItsContext(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := connectedPair(t, nil)
+	b.Handle("endless", func(ctx context.Context, _ *Stream) error {
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	st, err := a.Open(t.Context(), "b", "endless")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer st.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	g.Expect(b.Shutdown(ctx)).To(gomega.MatchError(context.Canceled))
+	err = st.Recv(new(wrapperspb.StringValue))
+	g.Expect(err).To(gomega.MatchError(ErrAborted))
+}
+
+// A handler that watches its stream learns that the caller is gone, also while it is blocked.
+func TestWatchEndsWithThePeer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := connectedPair(t, nil)
+	ended := make(chan error, 1)
+	b.Handle("long", func(ctx context.Context, s *Stream) error {
+		ctx, cancel := s.Watch(ctx)
+		defer cancel()
+		for ctx.Err() == nil { // fills the window, then blocks
+			if err := s.Send(wrapperspb.Bytes(make([]byte, 1<<16))); err != nil {
+				break
+			}
+		}
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return ctx.Err()
+	})
+	st, err := a.Open(t.Context(), "b", "long")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(st.Recv(new(wrapperspb.BytesValue))).To(gomega.Succeed())
+	_ = st.Close()
+	g.Eventually(ended, settle).Should(gomega.Receive(gomega.MatchError(context.Canceled)))
+}
+
+// Many opens at once to a host that is not connected share one connection, which
+// closes when it is idle, for the host is no link.
+func TestConnectionOnDemand(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tune := func(c *Config) { c.IdleTimeout = 100 * time.Millisecond }
+	a, b := pair(t, tune)
+	connect(a, b)
+	a.mu.Lock()
+	a.slots = nil // b is on the list and no link of a
+	a.mu.Unlock()
+	b.SetHosts(listed(a)) // nor is a of b
+	for _, p := range append(a.allPeers(), b.allPeers()...) {
+		for _, s := range p.all() {
+			s.close()
+		}
+	}
+	b.SetHosts(listed(a, b))
+	b.mu.Lock()
+	b.slots = nil
+	b.mu.Unlock()
+	before := a.Stats().Dials
+	var wg sync.WaitGroup
+	errs := make(chan error, 20)
+	for range cap(errs) {
+		wg.Go(func() {
+			st, err := a.Open(t.Context(), "b", echoing)
+			if err == nil {
+				err = st.Close()
+			}
+			errs <- err
+		})
+	}
+	wg.Wait()
+	close(errs)
+	for err := range errs {
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	g.Expect(a.Stats().Dials - before).To(gomega.BeNumerically("<=", 1))
+	g.Eventually(func() int { return a.Stats().Sessions }, settle).Should(gomega.BeZero(), func() string { return fmt.Sprint(a.Peers()) })
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -76,9 +76,9 @@
 }
 
 func pair(t testing.TB, tune func(*Config)) (*Mesh, *Mesh) {
-	ca := newTestCA(t)
-	a := Config{Self: inc("a"), TLS: ca.config(t, "a", false)}
-	b := Config{Self: inc("b"), TLS: ca.config(t, "b", true)}
+	ca := NewTestCA(t)
+	a := Config{Self: inc("a"), TLS: ca.Config(t, "a", false)}
+	b := Config{Self: inc("b"), TLS: ca.Config(t, "b", true)}
 	if tune != nil {
 		tune(&a)
 		tune(&b)
@@ -167,8 +167,8 @@
 
 // Each case is a peer that must not get in or be believed.
 func TestPeersProveThemselves(t *testing.T) {
-	ca, foreign := newTestCA(t), newTestCA(t)
-	good := startMesh(t, Config{Self: inc("good"), TLS: ca.config(t, "good", false)})
+	ca, foreign := NewTestCA(t), NewTestCA(t)
+	good := startMesh(t, Config{Self: inc("good"), TLS: ca.Config(t, "good", false)})
 	for _, c := range []struct {
 		name   string
 		cfg    Config
@@ -176,8 +176,8 @@
 		cause  error
 		says   string
 	}{
-		{"wrong CA", Config{Self: inc("p"), TLS: foreign.config(t, "p", false)}, true, nil, ""},
-		{"off the list", Config{Self: inc("p"), TLS: ca.config(t, "p", false)}, false, ErrRefused, "not on the host list"},
+		{"wrong CA", Config{Self: inc("p"), TLS: foreign.Config(t, "p", false)}, true, nil, ""},
+		{"off the list", Config{Self: inc("p"), TLS: ca.Config(t, "p", false)}, false, ErrRefused, "not on the host list"},
 		{"plain", Config{Self: inc("p")}, true, nil, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -206,16 +206,16 @@
 // A host with a valid certificate claims another host's id, in either direction.
 func TestHostIDIsBoundToTheCertificate(t *testing.T) {
 	g := gomega.NewWithT(t)
-	ca := newTestCA(t)
-	good := startMesh(t, Config{Self: inc("good"), TLS: ca.config(t, "good", false)})
-	thief := startMesh(t, Config{Self: inc("thief"), TLS: ca.config(t, "thief", false)})
+	ca := NewTestCA(t)
+	good := startMesh(t, Config{Self: inc("good"), TLS: ca.Config(t, "good", false)})
+	thief := startMesh(t, Config{Self: inc("thief"), TLS: ca.Config(t, "thief", false)})
 	thief.cfg.Self.Host = "victim"
 	connect(good, thief)
 	_, err := thief.Open(t.Context(), "good", echoing)
 	g.Expect(err).To(gomega.MatchError(ErrRefused))
 	_, err = good.Open(t.Context(), "victim", echoing)
 	g.Expect(err).To(gomega.MatchError(ErrIdentity))
-	_, err = New(Config{Self: inc("a"), Listen: loopback, TLS: ca.config(t, "other", false)})
+	_, err = New(Config{Self: inc("a"), Listen: loopback, TLS: ca.Config(t, "other", false)})
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("doesn't name host")))
 }
 
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -118,8 +118,8 @@
 	for _, s := range p.sessions {
 		info.State = LinkUp
 		info.RTT = time.Duration(s.rtt.Load())
-		info.BytesIn += s.conn.in.Load()
-		info.BytesOut += s.conn.out.Load()
+		info.BytesIn += s.wire.in.Load()
+		info.BytesOut += s.wire.out.Load()
 	}
 	return info
 }
--- a/internal/mesh/session.go
+++ b/internal/mesh/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +19,8 @@
 type session struct {
 	mesh     *Mesh
 	mux      *yamux.Session
-	conn     *countedConn
+	conn     net.Conn     // with TLS, if there is
+	wire     *countedConn // below TLS
 	peer     identity.Incarnation
 	domain   string
 	partner  string
@@ -35,7 +37,7 @@
 	stop      sync.Once
 }
 
-func (m *Mesh) newSession(conn *countedConn, hello *meshpb.Hello, outbound bool) (*session, error) {
+func (m *Mesh) newSession(conn net.Conn, wire *countedConn, hello *meshpb.Hello, outbound bool) (*session, error) {
 	cfg := yamux.DefaultConfig()
 	cfg.EnableKeepAlive = false // heartbeat below also measures the round trip
 	cfg.ConnectionWriteTimeout = m.cfg.HeartbeatTimeout
@@ -50,7 +52,7 @@
 		return nil, err
 	}
 	s := &session{
-		mesh: m, mux: mux, conn: conn, outbound: outbound,
+		mesh: m, mux: mux, conn: conn, wire: wire, outbound: outbound,
 		peer:    identity.Incarnation{Host: hello.GetHost(), Start: hello.GetStart()},
 		domain:  hello.GetDomain(),
 		partner: hello.GetPartner(),
@@ -87,14 +89,14 @@
 	ticker := time.NewTicker(s.mesh.cfg.HeartbeatInterval)
 	defer ticker.Stop()
 	for {
-		before := s.conn.in.Load()
+		before := s.wire.in.Load()
 		rtt, err := s.mux.Ping()
 		switch {
 		case err == nil:
 			s.rtt.Store(int64(rtt))
 		case errors.Is(err, yamux.ErrSessionShutdown):
 			return
-		case s.conn.in.Load() == before:
+		case s.wire.in.Load() == before:
 			s.closeSilent()
 			return
 		}
@@ -229,7 +231,8 @@
 
 func (s *session) close() {
 	s.stop.Do(func() {
-		_ = s.conn.Close() // first: a silent peer must not delay the multiplexer's own close
+		_ = s.wire.Close() // first: a silent peer must not delay the close of what is above
+		_ = s.conn.Close()
 		_ = s.mux.Close()
 		s.cancel()
 		s.mesh.forget(s)
--- a/internal/mesh/upkeep.go
+++ b/internal/mesh/upkeep.go
@@ -179,8 +179,8 @@
 }
 
 func (s *session) probe() {
-	before := s.conn.in.Load()
-	if _, err := s.mux.Ping(); err != nil && s.conn.in.Load() == before {
+	before := s.wire.in.Load()
+	if _, err := s.mux.Ping(); err != nil && s.wire.in.Load() == before {
 		s.closeSilent()
 	}
 }
