--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -10,11 +10,11 @@
 
 	"github.com/plantainrun/plantainrun/coord/clock"
 	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/coord/suspect"
 	"github.com/plantainrun/plantainrun/internal/apierror"
 	"github.com/plantainrun/plantainrun/internal/engineapi"
 	"github.com/plantainrun/plantainrun/internal/rules"
 	"github.com/plantainrun/plantainrun/internal/schedule"
-	"github.com/plantainrun/plantainrun/internal/topology"
 )
 
 // BlockBytes is the size of the prompt blocks whose hashes name a prefix.
@@ -30,17 +30,19 @@
 type Attempt struct {
 	Outcome outcome.Outcome
 	// Died is set when the engine's process ended during the attempt.
-	Died   bool
-	Tokens int // tokens that reached the sink
-	Reason string
-	Usage  engineapi.Usage
+	Died bool
+	// Leaving is set when the engine said that it is leaving.
+	Leaving bool
+	Tokens  int // tokens that reached the sink
+	Reason  string
+	Usage   engineapi.Usage
 }
 
 // Call is one prompt prepared for any number of attempts.
 type Call interface {
-	// Attempt runs the prompt once on target and passes each token once, in
+	// Attempt runs the prompt once under grant and passes each token once, in
 	// order. A nil error comes only with a whole answer.
-	Attempt(ctx context.Context, target topology.Target, priority int, token func(text string) error) (Attempt, error)
+	Attempt(ctx context.Context, grant schedule.Grant, token func(text string) error) (Attempt, error)
 }
 
 // Engines prepares prompts for attempts.
@@ -48,14 +50,32 @@
 	Prepare(req Request) (Call, error)
 }
 
-// Suspects keeps the books on prompts that crash targets.
+// Suspects keeps account of prompts that crash targets.
 type Suspects interface {
-	// Admit refuses a quarantined fingerprint. alone asks for a target without
-	// other suspects.
-	Admit(fingerprint uint64) (alone bool, err error)
-	// Started and Ended bracket one attempt.
-	Started(fingerprint uint64, target string)
-	Ended(fingerprint uint64, target string, died bool, result outcome.Outcome)
+	// Acquire waits until the prompt may run, or refuses it with an
+	// *apierror.Error.
+	Acquire(ctx context.Context, fingerprint suspect.Fingerprint) (SuspectRun, error)
+	// Died records that a target died under a run.
+	Died(target string)
+}
+
+// SuspectRun is one prompt's account.
+type SuspectRun interface {
+	// Alone asks for a target on which no other suspect runs.
+	Alone() bool
+	// Avoid lists targets on which the prompt must not run.
+	Avoid() []string
+	// On records where the prompt is about to run. On an error nothing may be sent there.
+	On(target string) error
+	// End closes the account.
+	End(succeeded bool)
+}
+
+// Arbiter runs the suspects of the failure domain.
+type Arbiter interface {
+	// Run runs a suspect at the host that sees all of them. It reports false
+	// when that is this host, or when it cannot be reached.
+	Run(ctx context.Context, req Request, sink Sink) (Result, bool, error)
 }
 
 // Limiter holds back organisations that are over their limit.
@@ -98,6 +118,7 @@
 	Limiter   Limiter
 	Retries   RetryBudget
 	Overflow  Overflow // nil: none
+	Arbiter   Arbiter  // nil: none
 	Observer  Observer
 	Clock     clock.Clock
 }
@@ -108,8 +129,10 @@
 	req         Request
 	sink        Sink
 	call        Call
-	fingerprint uint64
+	fingerprint suspect.Fingerprint
 	tokens      int
+	tried       bool
+	mayHaveRun  bool // an attempt ended otherwise than not run
 	exclude     []string
 }
 
@@ -117,88 +140,126 @@
 func (l *Local) Run(ctx context.Context, req Request, sink Sink) (Result, error) {
 	r := &run{Local: l, req: req, sink: sink}
 	r.tokens = l.Estimator.PromptTokens(req.Model, len(req.Prompt))
-	r.fingerprint = Fingerprint(req)
-	if err := l.admit(r); err != nil {
-		return Result{}, err
+	if !req.Forwarded {
+		if err := l.Limiter.Take(req.Organisation, r.tokens+req.MaxTokens); err != nil {
+			return Result{}, err
+		}
 	}
+	r.fingerprint = Fingerprint(req)
 	call, err := l.Engines.Prepare(req)
 	if err != nil {
 		return Result{}, err
 	}
 	r.call = call
-	result, err := r.attempts(ctx)
+	result, err := r.tries(ctx)
 	if err != nil {
-		return Result{}, err
+		return Result{}, r.truthful(err)
 	}
 	l.Observer.Tokens(req.Partner, result.Usage.PromptTokens, result.Usage.OutputTokens)
 	return result, nil
 }
 
-func (l *Local) admit(r *run) error {
-	if _, err := l.Suspects.Admit(r.fingerprint); err != nil {
-		return err
+// truthful corrects an error that says not run when an earlier attempt may
+// have run.
+func (r *run) truthful(err error) error {
+	e := apierror.From(err)
+	if e.Outcome != outcome.NotRun || !r.mayHaveRun {
+		return e
 	}
-	if r.req.Forwarded {
-		return nil
-	}
-	return l.Limiter.Take(r.req.Organisation, r.tokens+r.req.MaxTokens)
+	corrected := *e
+	corrected.Outcome = outcome.Unknown
+	return &corrected
 }
 
-// attempts tries targets until one answers in full or the prompt is given up.
-func (r *run) attempts(ctx context.Context) (Result, error) {
-	first := true
+// tries tries targets until one answers in full or the prompt is given up.
+func (r *run) tries(ctx context.Context) (Result, error) {
 	for {
-		grant, err := r.acquire(ctx)
-		if err != nil {
-			return r.elsewhere(ctx, err)
-		}
-		target := grant.Target().ID
-		r.countTry(target, first)
-		first = false
-		attempt, err := r.attempt(ctx, grant)
-		if err == nil {
-			return Result{Reason: attempt.Reason, Usage: attempt.Usage}, nil
+		result, again, err := r.try(ctx)
+		if !again {
+			return result, err
 		}
-		if err := r.mayRetry(ctx, target, attempt, err); err != nil {
-			return Result{}, err
+	}
+}
+
+// try makes one attempt, with an account of its own at the suspects. It
+// reports whether another one is wanted.
+func (r *run) try(ctx context.Context) (Result, bool, error) {
+	account, err := r.Suspects.Acquire(ctx, r.fingerprint)
+	if err != nil {
+		return Result{}, false, r.orDeadline(ctx, err)
+	}
+	succeeded := false
+	defer func() { account.End(succeeded) }()
+	if account.Alone() && r.Arbiter != nil && !r.req.Forwarded {
+		if result, taken, err := r.Arbiter.Run(ctx, r.req, r.sink); taken {
+			return result, false, err
 		}
-		r.exclude = append(r.exclude, target)
 	}
+	grant, err := r.acquire(ctx, account)
+	if err != nil {
+		result, err := r.elsewhere(ctx, err)
+		return result, false, err
+	}
+	target := grant.Target().ID
+	if err := account.On(target); err != nil {
+		grant.Release(r.Clock.Now(), outcome.NotRun)
+		return Result{}, r.mayAvoid(target, err), err
+	}
+	r.countFirst(target)
+	attempt, err := r.attempt(ctx, grant)
+	if err == nil {
+		succeeded = true
+		return Result{Reason: attempt.Reason, Usage: attempt.Usage}, false, nil
+	}
+	r.exclude = append(r.exclude, target)
+	final := r.mayRetry(ctx, target, attempt, err)
+	return Result{}, final == nil, final
 }
 
-func (r *run) countTry(target string, first bool) {
-	if first {
+func (r *run) countFirst(target string) {
+	if !r.tried {
 		r.Retries.First(target)
 	}
+	r.tried = true
 }
 
-func (r *run) acquire(ctx context.Context) (schedule.Grant, error) {
-	alone, err := r.Suspects.Admit(r.fingerprint)
-	if err != nil {
-		return nil, err
+// mayAvoid reports whether another target may be tried instead of one on
+// which a suspect must not run, or while the prompt is being judged.
+func (r *run) mayAvoid(target string, err error) bool {
+	var avoid *suspect.AvoidError
+	if errors.As(err, &avoid) {
+		r.exclude = append(r.exclude, target)
+		return true
 	}
+	var held *suspect.HeldError
+	return errors.As(err, &held)
+}
+
+func (r *run) acquire(ctx context.Context, account SuspectRun) (schedule.Grant, error) {
 	return r.Scheduler.Acquire(ctx, schedule.Request{
 		ID: r.req.ID, Partner: r.req.Partner, Organisation: r.req.Organisation.Name, Model: r.req.Model,
 		PromptTokens: r.tokens, MaxTokens: r.req.MaxTokens, Arrival: r.req.Arrival, Deadline: r.req.Deadline,
-		Prefixes: Prefixes(r.req.Prompt), Exclude: r.exclude, Alone: alone,
+		Prefixes: Prefixes(r.req.Prompt), Exclude: append(account.Avoid(), r.exclude...), Alone: account.Alone(),
 	})
 }
 
 // attempt runs the prompt once under grant.
 func (r *run) attempt(ctx context.Context, grant schedule.Grant) (Attempt, error) {
 	target := grant.Target()
-	r.Suspects.Started(r.fingerprint, target.ID)
 	seen := false
-	attempt, err := r.call.Attempt(ctx, target, grant.Priority(), func(text string) error {
+	attempt, err := r.call.Attempt(ctx, grant, func(text string) error {
 		if !seen {
 			seen = true
 			grant.FirstToken(r.Clock.Now())
 		}
 		return r.sink.Token(text)
 	})
-	r.Suspects.Ended(r.fingerprint, target.ID, attempt.Died, attempt.Outcome)
+	if attempt.Died {
+		r.Suspects.Died(target.ID)
+	}
 	grant.Release(r.Clock.Now(), attempt.Outcome)
 	r.Observer.Attempt(target.ID, attempt.Outcome)
+	r.mayHaveRun = r.mayHaveRun || attempt.Outcome != outcome.NotRun
 	return attempt, err
 }
 
@@ -218,6 +279,14 @@
 	return nil
 }
 
+// orDeadline turns the end of ctx into the caller's error.
+func (r *run) orDeadline(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return r.deadline(outcome.NotRun)
+	}
+	return err
+}
+
 // elsewhere tries another failure domain after the own one refused.
 func (r *run) elsewhere(ctx context.Context, refused error) (Result, error) {
 	if errors.Is(refused, context.DeadlineExceeded) || errors.Is(refused, context.Canceled) {
@@ -241,15 +310,12 @@
 }
 
 // Fingerprint is a hash of what a target would run, whoever asks for it.
-func Fingerprint(req Request) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, part := range append([]string{req.Model, req.Adapter, req.Prompt, strconv.Itoa(req.MaxTokens)}, req.Stop...) {
-		_, _ = d.WriteString(strconv.Itoa(len(part)))
-		_, _ = d.WriteString(":")
-		_, _ = d.WriteString(part)
+func Fingerprint(req Request) suspect.Fingerprint {
+	parts := [][]byte{[]byte(req.Model), []byte(req.Adapter), []byte(req.Prompt), []byte(strconv.Itoa(req.MaxTokens))}
+	for _, stop := range req.Stop {
+		parts = append(parts, []byte(stop))
 	}
-	return d.Sum64()
+	return suspect.FingerprintOf(parts...)
 }
 
 // Prefixes returns the hashes of the prompt's leading blocks, shortest first.
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -4,7 +4,9 @@
 // ended; a Router on any host brings a call to its ticket's owner, or answers
 // from the owner's closed ledger. What neither can know is told as unknown,
 // never as not run: "not run" is said of a ticket only by its owner or by its
-// closed ledger.
+// closed ledger. It is said of the ticket and not of one try: the ticket is
+// void then, so that no copy of the call that is still under way can run after
+// its caller was told that it was not run.
 //
 // The package knows nothing of servers and links. Errors are *apierror.Error.
 package once
@@ -17,13 +19,14 @@
 	"github.com/plantainrun/plantainrun/coord/identity"
 	"github.com/plantainrun/plantainrun/coord/ledger"
 	"github.com/plantainrun/plantainrun/coord/outcome"
-	"github.com/plantainrun/plantainrun/internal/topology"
+	"github.com/plantainrun/plantainrun/internal/service"
 )
 
 // HeaderTicket carries the ticket to the service, and between caller and host.
 const HeaderTicket = "Idempotency-Key"
 
-// Call is one call that is not idempotent.
+// Call is one call that is not idempotent. Its Header and Body must not change
+// any more, also after Execute returned.
 type Call struct {
 	ID           string // of the caller's request, for logs and the service
 	Ticket       string // empty: the caller has none yet
@@ -53,22 +56,11 @@
 	Replayed bool // from the record, not from a run by this call
 }
 
-// Picker chooses targets from the host list.
-type Picker interface {
-	// Pick returns a target of the service that is not among exclude (ids), or
-	// an *apierror.Error. It must return only addresses on the target list.
-	Pick(ctx context.Context, service string, exclude []string) (topology.Target, error)
-	// Leaving records that the target said that it is leaving.
-	Leaving(target topology.Target)
-}
+// Picker chooses targets from the target list.
+type Picker = service.Picker
 
 // Budget bounds retries. Keys are organisations and targets.
-type Budget interface {
-	// First counts a first try.
-	First(key string)
-	// Retry reports whether a retry is allowed, and counts it if so.
-	Retry(key string) bool
-}
+type Budget = service.Budget
 
 // Forwarder brings a call to its owner on another host.
 type Forwarder interface {
--- a/internal/schedule/backlog.go
+++ b/internal/schedule/backlog.go
@@ -73,25 +73,45 @@
 	b.works = slices.DeleteFunc(b.works, func(w work) bool { return w.id == id })
 }
 
-// correct takes in a report that the engine observed some time ago: what was
-// dispatched since is added to it and what was computed since taken off.
+// correct takes in a report that the engine observed some time ago. What was
+// computed since, apart from requests dispatched since, is taken off it, and the rest is
+// set against the older dispatches.
 func (b *backlog) correct(now, observed time.Time, reported float64) {
 	b.advance(now)
-	total, known := reported-b.rate*now.Sub(observed).Seconds(), 0.
+	computed := b.rate * now.Sub(observed).Seconds()
+	older := 0.
 	for i := range b.works {
 		w := &b.works[i]
-		known += w.left
 		if w.at.After(observed) {
-			total += w.tokens
+			computed -= w.tokens - w.left
+		} else {
+			older += w.left
 		}
 	}
-	total = max(total, 0)
-	b.unknown = max(0, total-known)
-	if known > total {
-		b.drain(known - total)
+	reported = max(0, reported-max(0, computed))
+	b.unknown = max(0, reported-older)
+	if older > reported {
+		b.drainOlder(observed, older-reported)
 	}
 }
 
+// drainOlder takes tokens off the requests dispatched up to a time.
+func (b *backlog) drainOlder(observed time.Time, tokens float64) {
+	kept := b.works[:0]
+	for _, w := range b.works {
+		if !w.at.After(observed) {
+			done := min(w.left, tokens)
+			w.left -= done
+			tokens -= done
+		}
+		if w.own || w.left > 0 {
+			kept = append(kept, w)
+		}
+	}
+	clear(b.works[len(kept):])
+	b.works = kept
+}
+
 // clear forgets everything; the engine started anew.
 func (b *backlog) clear() {
 	b.works = b.works[:0]
@@ -101,6 +121,7 @@
 // load is a summary of a backlog for one priority.
 type load struct {
 	ahead float64 // tokens of the same or a higher priority
+	class float64 // tokens of the same or a shorter class
 	total float64 // tokens
 	long  int     // long prompts in prefill
 	stall time.Duration
@@ -116,18 +137,35 @@
 	stallSlack  = 250 * time.Millisecond
 )
 
+// classRank orders the classes, shortest first.
+func classRank(class rules.Class) int {
+	switch class {
+	case rules.ClassShort:
+		return 0
+	case rules.ClassMedium:
+		return 1
+	default:
+		return 2
+	}
+}
+
 func (b *backlog) load(now time.Time, priority int64, class rules.Class) load {
 	b.advance(now)
 	l := load{ahead: b.unknown, total: b.unknown}
 	if class == rules.ClassShort {
 		l.ahead = min(l.ahead, unknownAhead)
 	}
+	l.class = l.ahead
+	rank := classRank(class)
 	for i := range b.works {
 		w := &b.works[i]
 		l.total += w.left
 		if w.priority <= priority {
 			l.ahead += w.left
 		}
+		if classRank(w.class) <= rank {
+			l.class += w.left
+		}
 		if w.class == rules.ClassLong && w.left > 0 {
 			l.long++
 		}
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -21,6 +21,7 @@
 type pool struct {
 	cfg    *Config
 	ledger *memory.Ledger
+	policy Policy
 
 	mu      sync.Mutex
 	targets map[string]*targetState
@@ -42,9 +43,8 @@
 
 // place is where a candidate would run.
 type place struct {
-	target *targetState // the only or first engine
-	parts  []engineapi.Part
-	group  *group
+	target *targetState     // the engine that computes the prompt and the answer
+	parts  []engineapi.Part // memory to reserve; nil: all of it at the target
 }
 
 // waiter is one offered request.
@@ -53,6 +53,7 @@
 	shape     Shape
 	priority  int64
 	need      int // tokens of memory
+	fit       fit
 	until     time.Time
 	offered   time.Time
 	predicted time.Duration // until the first token, as first predicted
@@ -64,7 +65,7 @@
 
 func newPool(cfg *Config, ledger *memory.Ledger) *pool {
 	return &pool{
-		cfg: cfg, ledger: ledger,
+		cfg: cfg, ledger: ledger, policy: cfg.NewPolicy(),
 		targets: map[string]*targetState{},
 		queue:   fairqueue.New[*waiter](cfg.Queues),
 		queued:  map[rules.Class]float64{},
@@ -152,6 +153,7 @@
 		return
 	}
 	var seen misses
+	p.startClaimed(now, &seen)
 	for {
 		it := p.queue.Offer(lookahead, func(it *fairqueue.Item[*waiter]) bool { return p.start(now, it.Value, &seen) })
 		if it == nil {
@@ -162,6 +164,18 @@
 	p.pursueClaim(now)
 }
 
+// startClaimed tries the request that claims memory first: many requests of its
+// organisation may be queued before it.
+func (p *pool) startClaimed(now time.Time, seen *misses) {
+	if p.claim == nil {
+		return
+	}
+	w := p.claim.waiter
+	if p.start(now, w, seen) && p.queue.Take(&w.item) {
+		p.left(w)
+	}
+}
+
 func (p *pool) expire(now time.Time) {
 	for _, it := range p.queue.Expire(now) {
 		w := it.Value
@@ -222,7 +236,7 @@
 	}
 	lacking := p.gather(now, w)
 	if len(p.candidates) > 0 {
-		if i := p.cfg.Policy.Choose(now, &w.req, w.shape, p.candidates); i >= 0 && p.grant(now, w, i) {
+		if i := p.policy.Choose(now, &w.req, w.shape, p.candidates); i >= 0 && p.grant(now, w, i) {
 			return true
 		}
 	}
@@ -235,18 +249,17 @@
 // time. It reports whether any target lacked only the memory.
 func (p *pool) gather(now time.Time, w *waiter) (lacking bool) {
 	p.candidates, p.places = p.candidates[:0], p.places[:0]
-	single, _ := w.route.largest()
-	if w.need > single {
+	if w.fit.parted {
 		return p.gatherGroups(now, w)
 	}
 	for i, t := range w.route.targets {
 		if !p.enterable(now, w, t) {
 			continue
 		}
-		c := Candidate{Target: t.info.ID, Position: w.route.positions[i], Count: w.route.count}
+		c := w.route.candidate(i)
 		c.Free = p.free(now, w, t)
 		if c.Free < w.need {
-			lacking = lacking || t.memory >= w.need
+			lacking = lacking || (w.need <= t.memory && p.policy.Enters(w.shape, &c))
 			continue
 		}
 		t.estimate(now, &c, p.prefillLeft(w, t), w.priority, w.shape.Class)
@@ -266,20 +279,18 @@
 			continue
 		}
 		parts, free := p.split(now, w, g)
-		if parts == nil {
+		if parts == nil || parts[0].Tokens <= w.req.MaxTokens {
 			lacking = true
 			continue
 		}
-		c := Candidate{Target: parts[0].Target, Free: free, Position: i, Count: len(w.route.groups), Grouped: true}
-		for _, part := range parts {
-			t := p.targets[part.Target]
-			t.estimate(now, &c, float64(part.Tokens), w.priority, w.shape.Class)
-		}
+		t := p.targets[parts[0].Target]
+		c := Candidate{Target: t.info.ID, Free: free, Position: i, Count: len(w.route.groups), Grouped: true}
+		t.estimate(now, &c, float64(w.req.PromptTokens), w.priority, w.shape.Class)
 		if !w.inTime(now, c.FirstToken) {
 			continue
 		}
 		p.candidates = append(p.candidates, c)
-		p.places = append(p.places, place{target: p.targets[parts[0].Target], parts: parts, group: g})
+		p.places = append(p.places, place{target: t, parts: parts})
 	}
 	return lacking
 }
@@ -313,11 +324,22 @@
 	return !now.Add(firstToken + w.shape.Decode).After(w.req.Deadline)
 }
 
-// free is how much of the target's memory w may take; what a claim or a
-// pledge waits for is not free to others.
+// free is how much of the target's memory w may take. What a claim or a pledge
+// waits for is not free to others, and a part is kept for short prompts.
 func (p *pool) free(now time.Time, w *waiter, t *targetState) int {
 	free := p.ledger.Free(now, t.info.ID, w.until)
-	return free - p.withheld(now, w, t.info.ID)
+	withheld, tight := p.withheld(now, w, t.info.ID)
+	kept := t.keptForShort()
+	switch {
+	case w.shape.Class == rules.ClassShort && tight:
+		return free - withheld
+	case w.shape.Class == rules.ClassShort:
+		return min(free, max(kept, free-withheld))
+	case w.fit.tight:
+		return free - withheld
+	default:
+		return free - withheld - kept
+	}
 }
 
 // split spreads w over as few members of the group as possible, in
--- a/internal/schedule/target.go
+++ b/internal/schedule/target.go
@@ -44,6 +44,18 @@
 	running  int // this host's grants
 	suspects int // this host's grants that asked to be alone
 	peers    int // requests of others, by the newest report
+
+	shortUsed int // tokens that this host's short prompts hold
+}
+
+// shortPart is the part of each engine's memory that only short prompts use.
+const shortPart = 0.1
+
+// keptForShort is what is free of this host's part of the memory that only
+// short prompts use.
+func (t *targetState) keptForShort() int {
+	part := int(shortPart * float64(t.memory) / float64(max(t.sharers, 1)))
+	return max(0, part-t.shortUsed)
 }
 
 // usable reports whether new work may go to the target at now. newest is the
@@ -128,6 +140,7 @@
 	l := t.backlog.load(now, priority, class)
 	rate := t.backlog.rate
 	c.Ahead = max(c.Ahead, cost.Seconds(l.ahead/rate)+l.stall)
+	c.Queued = max(c.Queued, cost.Seconds(l.class/rate)+l.stall)
 	c.Backlog = max(c.Backlog, cost.Seconds(l.total/rate)+l.stall)
 	c.FirstToken = max(c.FirstToken, cost.Seconds((l.ahead+tokens)/rate)+l.stall)
 	c.Running = max(c.Running, t.running+t.peers)
