--- a/coord/membership/table.go
+++ b/coord/membership/table.go
@@ -75,7 +75,7 @@
 	revisions [KindTarget + 1]atomic.Uint64 // of the lists in force, by kind
 	listMu    sync.Mutex                    // serialises new lists
 	count     atomic.Int64
-	version   atomic.Uint64 // grows with each change
+	version   atomic.Uint64 // grows with each change of a host
 	view      atomic.Pointer[view]
 	dropped   atomic.Uint64
 	applied   atomic.Uint64
@@ -255,7 +255,9 @@
 	}
 	if change(m, at) {
 		s.dirty = true
-		t.version.Add(1)
+		if k.kind == KindHost {
+			t.version.Add(1)
+		}
 	}
 }
 
