--- a/internal/demo/path_test.go
+++ b/internal/demo/path_test.go
@@ -74,7 +74,7 @@
 		via += time.Since(middle)
 	}
 	b.ReportMetric(float64(via)/float64(direct), "ratio")
-	b.ReportMetric(float64((via - direct).Microseconds())/float64(n), "added-us/op")
+	b.ReportMetric(float64((via-direct).Microseconds())/float64(n), "added-us/op")
 }
 
 // maxCopies bounds how often the whole system, caller and stand-in included,
