Wrap causes with eris where the host is wired

Cause: the house style asks for eris; kinds of errors had it nowhere. Conclusion: eris carries causes of set-up faults, whose stack helps; outcomes towards callers stay typed kinds.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 	"os"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/rest/httpc"
 	"go.uber.org/zap"
 
@@ -35,7 +35,7 @@
 	logging.Route(zap.NewNop())
 	addr, err := netip.ParseAddrPort(o.Addr)
 	if err != nil {
-		return nil, &usageError{fmt.Errorf("--operators-addr: %q is not IP:port", o.Addr)}
+		return nil, &usageError{eris.Errorf("--operators-addr: %q is not IP:port", o.Addr)}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
 	defer cancel()
@@ -49,12 +49,12 @@
 	}
 	resp, err := httpc.DoRequest(req)
 	if err != nil {
-		return nil, fmt.Errorf("host at %s does not answer, check --operators-addr: %w", addr, err)
+		return nil, eris.Wrapf(err, "host at %s does not answer, check --operators-addr", addr)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, fmt.Errorf("answer of %s ended early: %w", addr, err)
+		return nil, eris.Wrapf(err, "answer of %s ended early", addr)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		return nil, refusal(body, resp.StatusCode)
@@ -65,9 +65,9 @@
 func refusal(body []byte, status int) error {
 	var f operator.Failure
 	if err := json.Unmarshal(body, &f); err != nil || f.Kind == "" {
-		return fmt.Errorf("the host answered with status %d", status)
+		return eris.Errorf("the host answered with status %d", status)
 	}
-	return fmt.Errorf("%s: %s; %s", f.Kind, f.Message, f.Remedy)
+	return eris.Errorf("%s: %s; %s", f.Kind, f.Message, f.Remedy)
 }
 
 func operatorName() string {
--- a/internal/cli/rules.go
+++ b/internal/cli/rules.go
@@ -5,6 +5,8 @@
 	"os"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/plantainrun/plantainrun/internal/rules"
 )
 
@@ -22,7 +24,7 @@
 func (c *rulesCheckCommand) Execute([]string) error {
 	file, err := os.ReadFile(c.Args.File)
 	if err != nil {
-		return fmt.Errorf("the file cannot be read: %w", err)
+		return eris.Wrap(err, "the file cannot be read")
 	}
 	partner := c.Partner
 	if partner == "" {
@@ -36,7 +38,7 @@
 	for _, f := range faults {
 		fmt.Fprintf(c.streams.Err, "%s:%d: %s; %s\n", c.Args.File, f.Line, f.Message, f.Remedy)
 	}
-	return fmt.Errorf("%s: %d faults, nothing would be taken", c.Args.File, len(faults))
+	return eris.Errorf("%s: %d faults, nothing would be taken", c.Args.File, len(faults))
 }
 
 // partnerOf returns the partner that the file names for itself.
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/plantainrun/plantainrun/internal/engineapi"
 	"github.com/plantainrun/plantainrun/internal/standin/engine"
 	"github.com/plantainrun/plantainrun/internal/standin/enginemodel"
@@ -46,7 +48,7 @@
 	case "engine":
 		return c.engine()
 	default:
-		return &usageError{fmt.Errorf("stand-in %q is not one of platform, engine, service", c.Args.Kind)}
+		return &usageError{eris.Errorf("stand-in %q is not one of platform, engine, service", c.Args.Kind)}
 	}
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/plantainrun/plantainrun/internal/caller"
@@ -63,7 +64,7 @@
 	for _, h := range d.hosts {
 		for h.Ready() != nil {
 			if time.Now().After(deadline) {
-				return fmt.Errorf("host %s is not ready: %w", h.CallersAddr(), h.Ready())
+				return eris.Wrapf(h.Ready(), "host %s is not ready", h.CallersAddr())
 			}
 			select {
 			case <-ctx.Done():
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/core/service"
@@ -60,7 +60,7 @@
 	}
 	srv, err := rest.NewServer(conf, rest.WithRouter(rt))
 	if err != nil {
-		return nil, fmt.Errorf("listener %s: %w", name, err)
+		return nil, eris.Wrapf(err, "listener %s", name)
 	}
 	return &Server{name: name, rest: srv, router: rt, addr: addr}, nil
 }
@@ -86,7 +86,7 @@
 func (s *Server) Start() error {
 	probe, err := net.Listen("tcp", s.addr.String())
 	if err != nil {
-		return fmt.Errorf("listener %s cannot bind %s, choose a free address: %w", s.name, s.addr, err)
+		return eris.Wrapf(err, "listener %s cannot bind %s, choose a free address", s.name, s.addr)
 	}
 	probe.Close()
 	ready := make(chan struct{})
@@ -95,7 +95,7 @@
 	case <-ready:
 		return nil
 	case <-time.After(startTimeout):
-		return fmt.Errorf("listener %s did not start on %s within %s", s.name, s.addr, startTimeout)
+		return eris.Errorf("listener %s did not start on %s within %s", s.name, s.addr, startTimeout)
 	}
 }
 
@@ -137,7 +137,7 @@
 		return nil
 	}
 	if err := svr.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("listener %s: %w", s.name, err)
+		return eris.Wrapf(err, "listener %s", s.name)
 	}
 	return nil
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 
+	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/load"
 	"github.com/zeromicro/go-zero/core/logx"
 	"go.uber.org/zap"
@@ -16,7 +17,7 @@
 func New(level string) (*zap.Logger, error) {
 	lvl, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, fmt.Errorf("log level %q is not one of debug, info, warn, error: %w", level, err)
+		return nil, eris.Wrapf(err, "log level %q is not one of debug, info, warn, error", level)
 	}
 	cfg := zap.NewProductionConfig()
 	cfg.Level = zap.NewAtomicLevelAt(lvl)
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -2,11 +2,10 @@
 
 import (
 	"crypto/tls"
-	"errors"
-	"fmt"
 	"net/netip"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/plantainrun/plantainrun/coord/identity"
@@ -72,10 +71,10 @@
 
 func (c *Config) check() error {
 	if c.Self.Host == "" {
-		return errors.New("mesh: the host has no id; set the host id in the settings")
+		return eris.New("mesh: the host has no id; set the host id in the settings")
 	}
 	if c.TLS == nil && !c.Listen.Addr().IsLoopback() {
-		return fmt.Errorf("mesh: plain text on %s is refused; give a CA, a certificate and a key, or listen on a loopback address", c.Listen.Addr())
+		return eris.Errorf("mesh: plain text on %s is refused; give a CA, a certificate and a key, or listen on a loopback address", c.Listen.Addr())
 	}
 	if c.TLS == nil {
 		return nil
--- a/internal/mesh/tls.go
+++ b/internal/mesh/tls.go
@@ -3,10 +3,10 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
-	"fmt"
 	"os"
 	"slices"
+
+	"github.com/rotisserie/eris"
 )
 
 // HostURIPrefix starts the URI in a certificate's subject alternative names that
@@ -29,7 +29,7 @@
 	}{{caFile, &p.CA}, {certFile, &p.Cert}, {keyFile, &p.Key}} {
 		data, err := os.ReadFile(f.path)
 		if err != nil {
-			return PEM{}, fmt.Errorf("mesh: %w; correct the path in the settings", err)
+			return PEM{}, eris.Wrap(err, "mesh: correct the path in the settings")
 		}
 		*f.to = data
 	}
@@ -40,11 +40,11 @@
 func NewTLSConfig(p PEM) (*tls.Config, error) {
 	cert, err := tls.X509KeyPair(p.Cert, p.Key)
 	if err != nil {
-		return nil, fmt.Errorf("mesh: %w; give the certificate and key that belong together", err)
+		return nil, eris.Wrap(err, "mesh: give the certificate and key that belong together")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(p.CA) {
-		return nil, errors.New("mesh: the CA holds no certificate; give it in PEM form")
+		return nil, eris.New("mesh: the CA holds no certificate; give it in PEM form")
 	}
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
@@ -60,18 +60,18 @@
 	const remedy = "use NewTLSConfig"
 	switch {
 	case c.MinVersion < tls.VersionTLS13:
-		return errors.New("mesh: TLS below 1.3 is refused; " + remedy)
+		return eris.New("mesh: TLS below 1.3 is refused; " + remedy)
 	case c.ClientAuth != tls.RequireAndVerifyClientCert || c.ClientCAs == nil || c.RootCAs == nil:
-		return errors.New("mesh: both sides must verify each other's certificate; " + remedy)
+		return eris.New("mesh: both sides must verify each other's certificate; " + remedy)
 	case len(c.Certificates) == 0:
-		return errors.New("mesh: the host has no certificate; " + remedy)
+		return eris.New("mesh: the host has no certificate; " + remedy)
 	}
 	leaf, err := x509.ParseCertificate(c.Certificates[0].Certificate[0])
 	if err != nil {
 		return err
 	}
 	if !names(leafHosts(leaf), self) {
-		return fmt.Errorf("mesh: the certificate doesn't name host %q; issue one with the DNS name %q or the URI %q", self, self, HostURIPrefix+self)
+		return eris.Errorf("mesh: the certificate doesn't name host %q; issue one with the DNS name %q or the URI %q", self, self, HostURIPrefix+self)
 	}
 	return nil
 }
@@ -86,7 +86,7 @@
 			return err
 		}
 		if !names(certificateHosts(state), host) {
-			return fmt.Errorf("the certificate doesn't name host %q", host)
+			return eris.Errorf("the certificate doesn't name host %q", host)
 		}
 		return nil
 	}
@@ -95,7 +95,7 @@
 
 func verifyChain(state tls.ConnectionState, roots *x509.CertPool) error {
 	if len(state.PeerCertificates) == 0 {
-		return errors.New("the peer has no certificate")
+		return eris.New("the peer has no certificate")
 	}
 	opts := x509.VerifyOptions{Roots: roots, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}
 	for _, c := range state.PeerCertificates[1:] {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/plantainrun/plantainrun/coord/clock"
@@ -77,7 +77,7 @@
 func New(settings config.Settings, addrs config.Addrs, log *zap.Logger) (*Server, error) {
 	self, err := identity.New(settings.Host.ID)
 	if err != nil {
-		return nil, fmt.Errorf("no random start id: %w", err)
+		return nil, eris.Wrap(err, "no random start id")
 	}
 	s := &Server{
 		settings: settings, addrs: addrs, clk: clock.System{}, self: self,
