--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/plantainrun/plantainrun/coord/clock"
 	"github.com/plantainrun/plantainrun/coord/outcome"
 	"github.com/plantainrun/plantainrun/coord/suspect"
@@ -17,12 +15,6 @@
 	"github.com/plantainrun/plantainrun/internal/schedule"
 )
 
-// BlockBytes is the size of the prompt blocks whose hashes name a prefix.
-const BlockBytes = 4096
-
-// maxBlocks bounds the hashes of one prompt.
-const maxBlocks = 256
-
 // retryPause is how long a caller should wait after a target failed it.
 const retryPause = time.Second
 
@@ -101,11 +93,15 @@
 type Observer interface {
 	Attempt(target string, result outcome.Outcome)
 	Tokens(partner string, prompt, output int)
+	// Slowdown records the time to the first token over that on an idle engine.
+	Slowdown(class rules.Class, partner string, ratio float64)
 }
 
-// Estimator turns prompts into tokens.
+// Estimator turns prompts into tokens and tokens into time.
 type Estimator interface {
 	PromptTokens(model string, bytes int) int
+	// IdleFirstToken is the time to the first token on an idle engine.
+	IdleFirstToken(model string, promptTokens int) time.Duration
 }
 
 // Local runs prompts on the targets of the host's own failure domain, and
@@ -239,7 +235,7 @@
 	return r.Scheduler.Acquire(ctx, schedule.Request{
 		ID: r.req.ID, Partner: r.req.Partner, Organisation: r.req.Organisation.Name, Model: r.req.Model,
 		PromptTokens: r.tokens, MaxTokens: r.req.MaxTokens, Arrival: r.req.Arrival, Deadline: r.req.Deadline,
-		Prefixes: Prefixes(r.req.Prompt), Exclude: append(account.Avoid(), r.exclude...), Alone: account.Alone(),
+		Prefixes: engineapi.PrefixHashes(r.req.Prompt), Exclude: append(account.Avoid(), r.exclude...), Alone: account.Alone(),
 	})
 }
 
@@ -251,6 +247,7 @@
 		if !seen {
 			seen = true
 			grant.FirstToken(r.Clock.Now())
+			r.observeSlowdown(r.Clock.Now())
 		}
 		return r.sink.Token(text)
 	})
@@ -263,6 +260,14 @@
 	return attempt, err
 }
 
+// observeSlowdown records the first token that the caller gets.
+func (r *run) observeSlowdown(at time.Time) {
+	idle := r.Estimator.IdleFirstToken(r.req.Model, r.tokens)
+	if idle > 0 {
+		r.Observer.Slowdown(rules.ClassOf(r.tokens), r.req.Partner, max(1, float64(at.Sub(r.req.Arrival))/float64(idle)))
+	}
+}
+
 // mayRetry returns nil when another attempt is allowed, or the final error.
 // Text that already left is never continued by another run.
 func (r *run) mayRetry(ctx context.Context, target string, attempt Attempt, cause error) error {
@@ -317,16 +322,3 @@
 	}
 	return suspect.FingerprintOf(parts...)
 }
-
-// Prefixes returns the hashes of the prompt's leading blocks, shortest first.
-func Prefixes(prompt string) []uint64 {
-	count := min(len(prompt)/BlockBytes, maxBlocks)
-	hashes := make([]uint64, 0, count)
-	var d xxhash.Digest
-	d.Reset()
-	for i := range count {
-		_, _ = d.WriteString(prompt[i*BlockBytes : (i+1)*BlockBytes])
-		hashes = append(hashes, d.Sum64())
-	}
-	return hashes
-}
