--- a/internal/schedule/policybench/policybench.go
+++ b/internal/schedule/policybench/policybench.go
@@ -48,16 +48,14 @@
 
 // Delays of messages.
 const (
-	reportEvery   = 500 * time.Millisecond
-	reportLag     = 500 * time.Millisecond
-	staleLag      = 5 * time.Second
-	hintDelay     = 20 * time.Millisecond
-	loanDelay     = 2 * time.Millisecond
-	domainHints   = 500 * time.Millisecond
-	forwardDelay  = 5 * time.Millisecond
-	crashNotice   = 50 * time.Millisecond
-	modelName     = "assistant"
-	mostTries     = 4
-	retryFraction = 0.1 // of first tries
-	retryBurst    = 10.
+	reportEvery  = 500 * time.Millisecond
+	reportLag    = 500 * time.Millisecond
+	staleLag     = 5 * time.Second
+	hintDelay    = 20 * time.Millisecond
+	loanDelay    = 2 * time.Millisecond
+	domainHints  = 500 * time.Millisecond
+	forwardDelay = 5 * time.Millisecond
+	crashNotice  = 50 * time.Millisecond
+	modelName    = "assistant"
+	mostTries    = 4
 )
