--- a/coord/ledger/ledger_test.go
+++ b/coord/ledger/ledger_test.go
@@ -167,6 +167,23 @@
 	}
 }
 
+func BenchmarkHandover(b *testing.B) {
+	const tickets = 10_000
+	clk := clock.NewManual(time.Unix(1000, 0))
+	l := ledger.New(owner, clk, ledger.DefaultConfig())
+	fill(l, tickets, clk.Now().Add(time.Minute))
+	for b.Loop() {
+		data, err := l.Freeze().MarshalBinary()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := ledger.UnmarshalClosed(data); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(data))/tickets, "bytes/ticket")
+	}
+}
+
 func BenchmarkLookup(b *testing.B) {
 	for _, shards := range []int{1, 32} {
 		b.Run(fmt.Sprint("shards=", shards), func(b *testing.B) {
