Tell a hold apart from a refusal when a run begins at a target

Cause: On reported a fingerprint that may not run now as quarantined, so that a harmless request was refused that could have waited.

Ruled out: waiting inside On, which has no context. Conclusion: On fails with *HeldError; its caller ends the run and acquires another one.

Checks: go test -race on coord/suspect and internal/completion, golangci-lint.

--- a/coord/suspect/tracker.go
+++ b/coord/suspect/tracker.go
@@ -177,9 +177,10 @@
 
 // On records where the request is about to run; it may be called again for
 // another target when nothing was sent to the one before, or when that one died.
-// It fails with *AvoidError when a suspect may not run there, and with
-// *QuarantinedError when the fingerprint may not run any more, or not now;
-// nothing may be sent then.
+// It fails with *AvoidError when a suspect may not run there, with
+// *QuarantinedError when the fingerprint may not run any more, and with
+// *HeldError when it may not run now: End the run then and Acquire another one.
+// After an error nothing may be sent.
 func (r *Run) On(targetID, incarnation string) error {
 	t := r.tracker
 	t.noticeRestart(targetID, incarnation)
@@ -190,11 +191,11 @@
 	m := s.get(r.fp, now)
 	if err := t.refusal(m, now); err != nil {
 		s.mu.Unlock()
-		return t.refuse(err)
+		return err
 	}
 	if r.ended.Load() && !t.reopen(r, m, now) {
 		s.mu.Unlock()
-		return t.refuse(&HeldError{})
+		return &HeldError{changed: m.changed}
 	}
 	ok := t.enter(r, targetID, incarnation, m.suspected(), now)
 	s.mu.Unlock()
@@ -204,15 +205,6 @@
 	return nil
 }
 
-// refuse turns a hold into a refusal for a short time.
-func (t *Tracker) refuse(err error) error {
-	var held *HeldError
-	if errors.As(err, &held) {
-		return &QuarantinedError{RetryAfter: t.cfg.HoldLimit}
-	}
-	return err
-}
-
 // reopen takes the permission again for a run that its target's death ended.
 func (t *Tracker) reopen(r *Run, m *mark, now time.Time) bool {
 	if t.full(m, now) {
