Test that suspects avoid copies in flight elsewhere

Trial with it off: TestSuspectsAvoidCopiesInFlight, the list to avoid lacks target-2. Ruled out: none.

--- a/coord/suspect/suspect_test.go
+++ b/coord/suspect/suspect_test.go
@@ -89,6 +89,25 @@
 	g.Expect(len(tracker.Snapshot())).To(gomega.BeNumerically("<=", 16))
 }
 
+// A copy that was in flight elsewhere when its fingerprint became a suspect
+// counts as a suspect there too.
+func TestSuspectsAvoidCopiesInFlight(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := suspect.New(clock.NewManual(time.Unix(0, 0)), suspect.DefaultConfig())
+	begin := func(prompt, target string) {
+		r, err := tracker.TryAcquire(suspect.FingerprintOf([]byte(prompt)))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(r.On(target, "a")).To(gomega.Succeed())
+	}
+	begin("crash", "target-1")
+	begin("crash", "target-2")
+	begin("question", "target-1")
+	tracker.TargetDied("target-1", "a")
+	again, err := tracker.TryAcquire(suspect.FingerprintOf([]byte("question")))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(again.Avoid()).To(gomega.Equal([]string{"target-1", "target-2"}))
+}
+
 // A run that goes on at another target after a death counts like a new one, and
 // reports deaths of the process that it ran on.
 func TestRunGoesOnAfterADeath(t *testing.T) {
