Charge a death to the run that saw it, and give the handover its own time

Cause: a run's death was charged to the engine's newest process, which harms runs on a restarted one; the handover of ledgers shared the drain's time limit and came last; retries counted as first tries of their target. Conclusion: a run knows its own process.

--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -47,8 +47,6 @@
 	// Acquire waits until the prompt may run, or refuses it with an
 	// *apierror.Error.
 	Acquire(ctx context.Context, fingerprint suspect.Fingerprint) (SuspectRun, error)
-	// Died records that a target died under a run.
-	Died(target string)
 }
 
 // SuspectRun is one prompt's account.
@@ -59,6 +57,8 @@
 	Avoid() []string
 	// On records where the prompt is about to run. On an error nothing may be sent there.
 	On(target string) error
+	// Died records that the target's process died under this run.
+	Died()
 	// End closes the account.
 	End(succeeded bool)
 }
@@ -202,7 +202,7 @@
 		return Result{}, r.mayAvoid(target, err), err
 	}
 	r.countFirst(target)
-	attempt, err := r.attempt(ctx, grant)
+	attempt, err := r.attempt(ctx, grant, account)
 	if err == nil {
 		succeeded = true
 		return Result{Reason: attempt.Reason, Usage: attempt.Usage}, false, nil
@@ -240,7 +240,7 @@
 }
 
 // attempt runs the prompt once under grant.
-func (r *run) attempt(ctx context.Context, grant schedule.Grant) (Attempt, error) {
+func (r *run) attempt(ctx context.Context, grant schedule.Grant, account SuspectRun) (Attempt, error) {
 	target := grant.Target()
 	seen := false
 	attempt, err := r.call.Attempt(ctx, grant, func(text string) error {
@@ -252,7 +252,7 @@
 		return r.sink.Token(text)
 	})
 	if attempt.Died {
-		r.Suspects.Died(target.ID)
+		account.Died()
 	}
 	grant.Release(r.Clock.Now(), attempt.Outcome)
 	r.Observer.Attempt(target.ID, attempt.Outcome)
--- a/internal/idempotent/idempotent.go
+++ b/internal/idempotent/idempotent.go
@@ -49,7 +49,9 @@
 			return once.Answer{}, afterAttempts(err, result)
 		}
 		tried = append(tried, target.ID)
-		e.budget.First(target.ID)
+		if n == 1 {
+			e.budget.First(target.ID)
+		}
 		r := e.attempt(ctx, target.Addr, call, n)
 		if r.Leaving {
 			e.picker.Leaving(target)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/plantainrun/plantainrun/coord/clock"
 	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/coord/ledger"
 	"github.com/plantainrun/plantainrun/coord/membership"
 	"github.com/plantainrun/plantainrun/coord/pause"
 	"github.com/plantainrun/plantainrun/coord/suspect"
@@ -34,6 +35,9 @@
 	"github.com/plantainrun/plantainrun/internal/sweep"
 )
 
+// handoverTimeout bounds the handing over of all closed ledgers.
+const handoverTimeout = 15 * time.Second
+
 // Server is one entry host. Its methods are safe for concurrent use.
 type Server struct {
 	settings config.Settings
@@ -159,6 +163,15 @@
 	}
 }
 
+// handOver gives the host's closed ledger, and those that it holds for others,
+// to hosts that stay. Requests that used up the drain's time do not cost it its own.
+func (s *Server) handOver(closed *ledger.Closed) {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	holders := s.ledgers.HandOver(ctx, closed)
+	s.log.Info("ledger handed over", zap.Int("tickets", closed.Len()), zap.Int("hosts", holders))
+}
+
 func (s *Server) drain() {
 	defer close(s.drained)
 	ctx, cancel := context.WithTimeout(context.Background(), s.settings.Drain.BalancerWait+s.settings.Drain.Timeout)
@@ -169,8 +182,7 @@
 		s.log.Error("requests were cut off, raise --drain-timeout", zap.Error(err))
 	}
 	closed := s.owner.Drain(ctx)
-	holders := s.ledgers.HandOver(ctx, closed)
-	s.log.Info("ledger handed over", zap.Int("tickets", closed.Len()), zap.Int("hosts", holders))
+	s.handOver(closed)
 	s.gossip.Announce(ctx, membership.Gone)
 	if err := s.mesh.Shutdown(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		s.log.Error("forwarded requests were cut off, raise --drain-timeout", zap.Error(err))
--- a/internal/server/suspects.go
+++ b/internal/server/suspects.go
@@ -25,11 +25,6 @@
 	return &suspectRun{Run: run, incarnation: s.incarnation}, nil
 }
 
-// Died records that a target died under a run.
-func (s *suspects) Died(target string) {
-	s.tracker.TargetDied(target, s.incarnation(target))
-}
-
 // suspectRun adds the target's incarnation to a run.
 type suspectRun struct {
 	*suspect.Run
