Let a new host use its part of the memory once its peers confirm

Cause: with a long Settle, which restarts need for safety, a new host could not serve; and before the first host list came a host took all of each engine's memory for its own.

A host now lists what it waits for (Unsettled), peers answer whether they count as many sharers and keep to their part (Keeps), and the last consent puts the part in force (Confirmed). A host that is alone need not wait. Until the host list names it, a host promises nothing. Keeps now takes the number of sharers; Local.Settled is gone.

go test ./internal/schedule: TestNewHostWaitsForItsPeers.

--- a/internal/schedule/bench_test.go
+++ b/internal/schedule/bench_test.go
@@ -40,10 +40,11 @@
 	for i := range 200 {
 		hosts = append(hosts, fmt.Sprintf("host-%d", i))
 	}
-	l.SetTargets(list)
-	if subset < targets {
-		l.SetHosts(hosts, nil)
+	if subset > targets {
+		hosts = hosts[:1]
 	}
+	l.SetHosts(hosts, nil)
+	l.SetTargets(list)
 	now := time.Now()
 	for _, t := range list {
 		l.Report(now, t.ID, engineapi.LoadReport{
--- a/internal/schedule/inputs.go
+++ b/internal/schedule/inputs.go
@@ -22,6 +22,9 @@
 		sharers := sharersOf(info, hosts, len(listed), p.cfg.SubsetSize)
 		t.setSharers(sharers, p.cfg.Self)
 		p.ledger.SetTarget(now, info.ID, t.memory, t.sharers)
+		if t.sharers == 1 {
+			p.ledger.Settled(now, info.ID) // there is nobody to wait for
+		}
 	}
 	for id, t := range p.targets {
 		if !present[id] {
@@ -59,7 +62,7 @@
 // setSharers records which hosts share the target's memory.
 func (t *targetState) setSharers(hosts []string, self string) {
 	t.sharers = 0
-	t.peersOf = t.peersOf[:0]
+	t.peersOf, t.confirmed = nil, nil
 	if !slices.Contains(hosts, self) {
 		return
 	}
--- a/internal/schedule/local.go
+++ b/internal/schedule/local.go
@@ -68,7 +68,8 @@
 
 // SetHosts takes the live entry hosts of the failure domain, this one
 // included, and those that left gracefully. Call it with each refresh of the
-// list, also when nothing changed, so that vanished hosts retire.
+// list, also when nothing changed, so that vanished hosts retire. Until it names this
+// host, no target takes work.
 func (l *Local) SetHosts(live, left []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -108,9 +109,6 @@
 	now := l.cfg.Clock.Now()
 	l.counted = l.members.Counted(now)
 	hosts := l.counted
-	if len(hosts) == 0 {
-		hosts = []string{l.cfg.Self}
-	}
 	byModel := map[string][]topology.Target{}
 	for _, t := range l.listed {
 		byModel[t.Model] = append(byModel[t.Model], t)
@@ -345,19 +343,3 @@
 		p.poll(now)
 	}
 }
-
-// Keeps reports whether this host keeps to its own part of the target's memory,
-// in answer to a peer that started anew.
-func (l *Local) Keeps(now time.Time, target string) bool {
-	p, ok := l.poolOf(target)
-	return !ok || p.ledger.Keeps(now, target)
-}
-
-// Settled tells that every other host which shares the target's memory has
-// confirmed that it keeps to its part.
-func (l *Local) Settled(now time.Time, target string) {
-	if p, ok := l.poolOf(target); ok {
-		p.ledger.Settled(now, target)
-		p.poll(now)
-	}
-}
--- /dev/null
+++ b/internal/schedule/settle_test.go
@@ -0,0 +1,45 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/internal/schedule"
+	"github.com/plantainrun/plantainrun/internal/topology"
+)
+
+// A new host uses its part only when its peer knows of it and keeps to its own.
+func TestNewHostWaitsForItsPeers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := clock.NewManual(epoch)
+	start := func(self string, hosts ...string) *schedule.Local {
+		l := schedule.New(schedule.Config{Self: self, Clock: c, Settle: time.Hour})
+		l.SetTargets([]topology.Target{engine("e", engineSize)})
+		l.SetHosts(hosts, nil)
+		return l
+	}
+	own := func(l *schedule.Local) int { return l.Snapshot().Targets[0].Own }
+	old := start("old", "old")
+	now := c.Now()
+	g.Expect(own(old)).To(gomega.Equal(engineSize))
+
+	fresh := start("new", "old", "new")
+	ask := func() {
+		for _, u := range fresh.Unsettled(now) {
+			for _, peer := range u.Peers {
+				if old.Keeps(now, u.Target, u.Sharers) {
+					fresh.Confirmed(now, u.Target, peer, u.Sharers)
+				}
+			}
+		}
+	}
+	ask()
+	g.Expect(own(fresh)).To(gomega.BeZero(), "the peer does not know the new host")
+	old.SetHosts([]string{"old", "new"}, nil)
+	ask()
+	g.Expect(own(fresh)).To(gomega.Equal(engineSize / 2))
+	g.Expect(fresh.Unsettled(now)).To(gomega.BeEmpty())
+}
--- a/internal/schedule/target.go
+++ b/internal/schedule/target.go
@@ -22,9 +22,10 @@
 
 // targetState is what a host knows of one engine.
 type targetState struct {
-	info    topology.Target
-	sharers int      // hosts that share its memory
-	peersOf []string // the other sharers
+	info      topology.Target
+	sharers   int      // hosts that share its memory
+	peersOf   []string // the other sharers
+	confirmed []string // peers that keep to their part
 
 	incarnation string
 	down        bool
