Confirm engines' memory between hosts before a new process uses its part

Cause: with no settling time a restarted host could promise memory that its predecessor had lent; only the engine's refusal guarded it. A prompt that needs a whole engine never got the part that peers keep for short prompts. Ruled out: a settling time of twice the longest limit (a host that restarts beside a dead, still listed peer would not serve for half an hour). Conclusion: peers confirm within 250 ms; without them a host waits 15 s, and the engine's refusal is the last guard.

--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -52,6 +52,10 @@
 	MemoryReturned(target string, id share.LoanID)
 	LendLimit(ask share.Ask) (share.Loan, bool)
 	BorrowLimit(loan share.Loan)
+	// KeepsMemory tells whether this host counts so many sharers of the
+	// target's memory and keeps to its part.
+	KeepsMemory(target string, sharers int) bool
+	MemoryKept(target, peer string, sharers int)
 }
 
 // Stats counts what was sent.
@@ -103,10 +107,16 @@
 // AskMemory queues a request for a loan of engine memory.
 func (h *Hints) AskMemory(host string, ask schedule.MemoryAsk) {
 	msg := askMessage(ask.Ask)
-	msg.RankPriority, msg.RankHost = ask.Rank.Priority, ask.Rank.Host
+	msg.RankPriority, msg.RankHost, msg.Tight = ask.Rank.Priority, ask.Rank.Host, ask.Tight
 	h.queue(host, func(b *hintspb.Batch) { b.MemoryAsks = append(b.MemoryAsks, msg) })
 }
 
+// AskKeep queues the question whether a host keeps to its part of a target's memory.
+func (h *Hints) AskKeep(host, target string, sharers int) {
+	msg := &hintspb.Keep{Target: target, Sharers: int32(sharers)} //nolint:gosec // a number of hosts
+	h.queue(host, func(b *hintspb.Batch) { b.Keeps = append(b.Keeps, msg) })
+}
+
 // AskLimit queues a request for a loan of a limit's share.
 func (h *Hints) AskLimit(host string, ask share.Ask) {
 	h.queue(host, func(b *hintspb.Batch) { b.LimitAsks = append(b.LimitAsks, askMessage(ask)) })
@@ -214,6 +224,9 @@
 	for _, l := range reply.GetLimitLoans() {
 		h.receiver.BorrowLimit(loanOf(l))
 	}
+	for _, k := range reply.GetKept() {
+		h.receiver.MemoryKept(k.GetTarget(), host, int(k.GetSharers()))
+	}
 }
 
 func (h *Hints) serveBatch(_ context.Context, s *mesh.Stream) error {
@@ -240,11 +253,11 @@
 	return s.Send(h.lend(&batch))
 }
 
-// lend answers the asks of a batch.
+// lend answers the questions of a batch.
 func (h *Hints) lend(batch *hintspb.Batch) *hintspb.Reply {
 	reply := &hintspb.Reply{}
 	for _, a := range batch.GetMemoryAsks() {
-		ask := schedule.MemoryAsk{Ask: askOf(a), Rank: schedule.Rank{Priority: a.GetRankPriority(), Host: a.GetRankHost()}}
+		ask := schedule.MemoryAsk{Ask: askOf(a), Rank: schedule.Rank{Priority: a.GetRankPriority(), Host: a.GetRankHost()}, Tight: a.GetTight()}
 		if loan, ok := h.receiver.LendMemory(ask); ok {
 			reply.MemoryLoans = append(reply.MemoryLoans, loanMessage(loan))
 		}
@@ -254,6 +267,11 @@
 			reply.LimitLoans = append(reply.LimitLoans, loanMessage(loan))
 		}
 	}
+	for _, k := range batch.GetKeeps() {
+		if h.receiver.KeepsMemory(k.GetTarget(), int(k.GetSharers())) {
+			reply.Kept = append(reply.Kept, k)
+		}
+	}
 	return reply
 }
 
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -24,6 +24,7 @@
 	syncInterval   = 500 * time.Millisecond // between two looks at the members' states
 	tellInterval   = time.Second            // between two hints on the own domain's load
 	borrowInterval = 500 * time.Millisecond // between two looks at the limits
+	keepInterval   = 250 * time.Millisecond // between two questions to the sharers of engines
 	gossipTimeout  = 2 * time.Second
 	confirmedFor   = time.Minute // how long a plan counts as confirmed
 )
@@ -54,6 +55,7 @@
 	s.run(func() { every(ctx, syncInterval, s.syncTargets) })
 	s.run(func() { every(ctx, tellInterval, s.tellLoads) })
 	s.run(func() { every(ctx, borrowInterval, s.borrow) })
+	s.run(func() { every(ctx, keepInterval, s.askKeeps) })
 }
 
 func every(ctx context.Context, interval time.Duration, do func()) {
@@ -131,6 +133,15 @@
 	s.limits.borrow(s.fleet.liveHosts(), s.hints.AskLimit)
 }
 
+// askKeeps asks the sharers of engines whose memory this host may not use yet.
+func (s *Server) askKeeps() {
+	for _, u := range s.scheduler.Unsettled(s.clk.Now()) {
+		for _, peer := range u.Peers {
+			s.hints.AskKeep(peer, u.Target, u.Sharers)
+		}
+	}
+}
+
 // announce tells the hosts of the failure domain of a suspicion.
 func (s *Server) announce(hint suspect.Hint) {
 	s.hints.Announce(s.fleet.neighbours(), hint)
@@ -171,6 +182,16 @@
 	s.scheduler.Returned(s.clk.Now(), target, id)
 }
 
+// KeepsMemory implements hints.Receiver.
+func (s *Server) KeepsMemory(target string, sharers int) bool {
+	return s.scheduler.Keeps(s.clk.Now(), target, sharers)
+}
+
+// MemoryKept implements hints.Receiver.
+func (s *Server) MemoryKept(target, peer string, sharers int) {
+	s.scheduler.Confirmed(s.clk.Now(), target, peer, sharers)
+}
+
 // LendLimit implements hints.Receiver.
 func (s *Server) LendLimit(ask share.Ask) (share.Loan, bool) { return s.limits.lend(ask) }
 
--- a/internal/server/wire.go
+++ b/internal/server/wire.go
@@ -31,10 +31,13 @@
 )
 
 const (
-	auditEntries     = 4096
-	closedLedgers    = 64
-	closedBytes      = 128 << 20
-	platformBurst    = 16  // reads
+	auditEntries  = 4096
+	closedLedgers = 64
+	closedBytes   = 128 << 20
+	platformBurst = 16 // reads
+	// settleMemory is how long a new host waits for peers that do not confirm
+	// that they keep to their part of an engine's memory.
+	settleMemory     = 15 * time.Second
 	guessedTokenSize = 4.0 // bytes, before a model's own ratio is known
 )
 
@@ -96,7 +99,7 @@
 	s.estimator = cost.NewEstimator()
 	s.scheduler = schedule.New(schedule.Config{
 		Self: s.self.Host, Incarnation: s.self.String(), Domain: s.settings.Host.Domain,
-		Clock: s.clk, Estimator: s.estimator,
+		Clock: s.clk, Estimator: s.estimator, Settle: settleMemory, Retire: retireHosts,
 		OnDispatch: func(d schedule.PeerDispatch) { s.hints.Dispatched(d) },
 		SendAsk:    func(peer string, ask schedule.MemoryAsk) { s.hints.AskMemory(peer, ask) },
 		SendReturn: func(peer, target string, id share.LoanID) { s.hints.ReturnMemory(peer, target, id) },
