--- a/coord/membership/bench_test.go
+++ b/coord/membership/bench_test.go
@@ -74,9 +74,9 @@
 			table.Digest()
 		}
 	})
-	b.Run("live hosts after one change", func(b *testing.B) {
+	b.Run("live hosts after a change of one", func(b *testing.B) {
 		for i := 0; b.Loop(); i++ {
-			table.ObserveTarget("engine-77", fmt.Sprint("later-", i), time.Unix(int64(1<<30+i), 0), true)
+			table.ObserveHost(identity.Incarnation{Host: "host-7", Start: uint64(i)}, time.Unix(int64(1000+i), 0))
 			table.Responsible("engine-5")
 		}
 	})
--- a/internal/mesh/cost_test.go
+++ b/internal/mesh/cost_test.go
@@ -21,6 +21,9 @@
 	domains  = 6
 	warmUp   = 12 * time.Second // until links are up and idle connections have had their exchange
 	callTime = 2 * time.Second
+	// What a host may spend on all control, of which the mesh and the membership are a part.
+	maxBytesOut = 3000     // a second
+	maxMemory   = 64 << 20 // bytes
 )
 
 // member is one host of the measured fleet.
@@ -69,6 +72,12 @@
 	b.ReportMetric(100*spent.Seconds()/per, "%core/host")
 	b.ReportMetric(float64(memory)/float64(hosts)/1024, "KiB/host")
 	b.ReportMetric(float64(links(fleet))/float64(hosts), "links/host")
+	if sent := float64(out2-out) / per; sent > maxBytesOut {
+		b.Errorf("%.0f bytes a second sent by a host, %d allowed", sent, maxBytesOut)
+	}
+	if memory/int64(hosts) > maxMemory {
+		b.Errorf("%d bytes of memory for a host, %d allowed", memory/int64(hosts), maxMemory)
+	}
 	cancel()
 	for _, m := range fleet {
 		m.mesh.Close()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -144,7 +144,8 @@
 
 // Open opens a stream for method at host. A connection that turns out silent is
 // replaced by a new one first. Every error matches ErrNotSent. The
-// context bounds the opening only; use Stream.SetDeadline or Stream.Close afterwards.
+// context bounds the opening only; use Stream.SetDeadline or Stream.Close afterwards. The
+// caller must close the stream when it is done with it.
 func (m *Mesh) Open(ctx context.Context, host, method string) (*Stream, error) {
 	p, err := m.peer(host)
 	if err != nil {
