--- /dev/null
+++ b/internal/knowledge/codec_test.go
@@ -0,0 +1,53 @@
+package knowledge
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/plantainrun/plantainrun/coord/dissemination"
+)
+
+// What one host encodes, another decodes if it has the same base; damage never
+// yields a value that a store would adopt.
+func TestEncodedValuesComeBackWhole(t *testing.T) {
+	const key = "plan"
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		value := dissemination.NewValue(key, 2, rapid.SliceOf(rapid.Byte()).Draw(t, "body"))
+		base := dissemination.NewValue(key, 1, rapid.SliceOf(rapid.Byte()).Draw(t, "base"))
+		update := dissemination.Update{Value: value}
+		if rapid.Bool().Draw(t, "with base") {
+			update.Base = base
+		}
+		e := newEncoder()
+		first, err := e.encode(update)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		msg, err := e.encode(update) // kept from the first time
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(proto.Equal(msg, first)).To(gomega.BeTrue())
+
+		has := func(string, dissemination.Version) (dissemination.Value, bool) { return base, true }
+		hasNot := func(string, dissemination.Version) (dissemination.Value, bool) { return dissemination.Value{}, false }
+		got, err := decode(msg, has)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(got.Version()).To(gomega.Equal(value.Version()))
+		g.Expect(string(got.Body)).To(gomega.Equal(string(value.Body)))
+		if update.Base.Revision > 0 && msg.GetBaseRevision() > 0 {
+			_, err = decode(msg, hasNot)
+			g.Expect(errors.Is(err, errNoBase)).To(gomega.BeTrue())
+		}
+
+		damaged := proto.CloneOf(msg)
+		at := rapid.IntRange(0, len(damaged.Body)-1).Draw(t, "damaged byte")
+		damaged.Body[at] ^= byte(rapid.IntRange(1, 255).Draw(t, "by"))
+		got, err = decode(damaged, has)
+		store := dissemination.NewStore(map[string]dissemination.Validate{key: func(dissemination.Value) error { return nil }})
+		if err == nil && store.Offer(got).Outcome == dissemination.Adopted {
+			g.Expect(string(got.Body)).To(gomega.Equal(string(value.Body)))
+		}
+	})
+}
