--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -10,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/plantainrun/plantainrun/internal/engineapi"
 	"github.com/plantainrun/plantainrun/internal/standin/engine"
 	"github.com/plantainrun/plantainrun/internal/standin/enginemodel"
@@ -45,7 +48,7 @@
 	case "engine":
 		return c.engine()
 	default:
-		return &usageError{fmt.Errorf("stand-in %q is not one of platform, engine, service", c.Args.Kind)}
+		return &usageError{eris.Errorf("stand-in %q is not one of platform, engine, service", c.Args.Kind)}
 	}
 }
 
@@ -68,7 +71,7 @@
 
 func (c *standinCommand) engine() error {
 	e := engine.New(engine.Settings{
-		ID: c.ID, Addr: c.Addr, AnswerTokens: c.AnswerTokens, ChecksFencing: c.ChecksFencing,
+		ID: c.ID, Addr: c.Addr, AnswerTokens: c.AnswerTokens, ChecksFencing: c.ChecksFencing, Seed: rand.Uint64(),
 		State: engineapi.State{Model: c.Model, Version: "1", Serving: true},
 		Model: enginemodel.Config{
 			MemoryTokens: c.MemoryTokens, PrefillRate: c.PrefillRate, DecodeInterval: c.DecodeInterval, ReportLag: c.ReportLag,
--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/plantainrun/plantainrun/coord/outcome"
@@ -27,6 +26,9 @@
 const (
 	// maxFaults bounds the connections in a row that break without a new token.
 	maxFaults = 4
+	// maxUnanswered bounds the new connections in a row that could not be opened
+	// or brought no header.
+	maxUnanswered = 2
 	// maxContradictions bounds the wrong answers within one attempt.
 	maxContradictions = 8
 	firstPause        = 20 * time.Millisecond
@@ -43,7 +45,8 @@
 // resumed at the next token. Any other error is an *Error; its outcome is
 // NotRun only when no byte of the request can have left, or the engine said
 // so. An engine stream that is not known to have ended is cancelled in the
-// background.
+// background. The id must be fresh for each attempt at one engine, for an engine
+// refuses one that it knows.
 func (c *Client) Generate(ctx context.Context, target topology.Target, req engineapi.GenerateRequest, sink Sink) (Result, error) {
 	c.attempts.Add(1)
 	body, err := newPromptBody(req)
@@ -88,8 +91,12 @@
 	ended       bool // the engine said that the stream has ended
 	resubmit    bool // the prompt goes again, since the engine did not know the stream
 	resubmitted bool // it went again
-	faults      int  // broken connections since the last token
-	wrong       int  // contradictions
+	// closed is set when a connection ended, which is also how an engine that
+	// the prompt crashed looks: the prompt must not go there again.
+	closed     bool
+	faults     int // broken connections since the last token
+	unanswered int // new connections in a row without an answer
+	wrong      int // contradictions
 }
 
 // mayRun reports whether the engine may still hold the stream.
@@ -100,9 +107,12 @@
 // run opens connections until the answer is whole or the attempt has failed.
 func (a *attempt) run(ctx context.Context) *Error {
 	for {
+		if a.over(ctx) {
+			return a.ctxError(ctx)
+		}
 		x, err := a.open(ctx)
 		if err == nil {
-			err = a.consume(x)
+			err = a.consume(ctx, x)
 		}
 		if err == nil {
 			return nil
@@ -122,7 +132,7 @@
 	if final, ok := err.(*Error); ok { //nolint:errorlint // own errors come unwrapped
 		return final
 	}
-	if ctx.Err() != nil {
+	if a.over(ctx) {
 		return a.ctxError(ctx)
 	}
 	f, _ := err.(fault) //nolint:errorlint // own errors come unwrapped
@@ -131,16 +141,19 @@
 		a.wrong++
 		a.client.contradictions.Add(1)
 	}
+	if f == faultClosed || f == faultRefused {
+		a.closed = true
+	}
 	switch {
-	case f == faultUnknown && (a.confirmed || a.resubmitted):
-		return a.fail(KindLost, f)
+	case f == faultUnknown && (a.confirmed || a.resubmitted || a.closed):
+		return a.lost(f, a.confirmed)
 	case f == faultUnknown:
-		a.resubmit = true
+		a.resubmit, a.faults = true, 1
 		a.client.resubmits.Add(1)
 	case f.contradicts() && (a.faults > maxFaults || a.wrong > maxContradictions):
 		return a.fail(KindIncomplete, f)
-	case a.faults > maxFaults:
-		return a.fail(KindLost, f)
+	case a.faults > maxFaults || a.unanswered > maxUnanswered:
+		return a.lost(f, f == faultRefused)
 	}
 	return nil
 }
@@ -150,6 +163,13 @@
 	return &Error{Kind: kind, Outcome: a.lostOutcome(), Target: a.target.ID, Cause: cause}
 }
 
+// lost is the error of an engine that went away, died or not.
+func (a *attempt) lost(cause error, died bool) *Error {
+	failed := a.fail(KindLost, cause)
+	failed.Died = died
+	return failed
+}
+
 func (a *attempt) lostOutcome() outcome.Outcome {
 	if a.sent {
 		return outcome.Unknown
@@ -159,11 +179,15 @@
 
 // ctxError tells the end of the time limit from the caller's going away.
 func (a *attempt) ctxError(ctx context.Context) *Error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return a.fail(KindDeadline, context.Cause(ctx))
+	if a.remaining() == 0 {
+		return a.fail(KindDeadline, context.DeadlineExceeded)
 	}
 	return a.fail(KindCancelled, context.Cause(ctx))
 }
 
+// over reports whether the attempt has ended. After a pause of the process the
+// time limit may have passed before ctx hears of it.
+func (a *attempt) over(ctx context.Context) bool { return ctx.Err() != nil || a.remaining() == 0 }
+
 // remaining is the time left to the attempt.
 func (a *attempt) remaining() time.Duration { return max(0, time.Until(a.limit)) }
--- a/internal/engine/open.go
+++ b/internal/engine/open.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/plantainrun/plantainrun/coord/outcome"
@@ -76,8 +77,9 @@
 	bound := a.client.bounds.Answer(a.remaining(), size)
 	x, err := startExchange(ctx, a.peer, req, fresh, bound)
 	if err != nil {
-		return nil, a.broken(ctx, x, err)
+		return nil, a.broken(ctx, x, err, fresh)
 	}
+	a.unanswered = 0
 	a.result.Leaving = a.result.Leaving || leaving(x.resp.Header, engineapi.HeaderLeaving)
 	if x.resp.Header.Get(engineapi.HeaderRequestID) != a.id {
 		a.sent = true
@@ -88,21 +90,36 @@
 }
 
 // broken classifies an exchange that ended without an answer.
-func (a *attempt) broken(ctx context.Context, x *exchange, err error) error {
+func (a *attempt) broken(ctx context.Context, x *exchange, err error, fresh bool) error {
 	x.abandon()
 	if x.written() {
 		a.sent = true
 	}
-	if ctx.Err() == nil && x.silent() {
+	silent := ctx.Err() == nil && x.silent()
+	if silent {
 		a.noteSilent(x)
-		if a.sent {
-			return faultSilent
-		}
 	}
-	if a.sent || ctx.Err() != nil {
+	switch {
+	case !a.sent && ctx.Err() == nil:
+		return &Error{Kind: KindUnreachable, Outcome: outcome.NotRun, Target: a.target.ID, Cause: err}
+	case !x.connected():
+		a.unanswered++
+		return dialFault(err)
+	case silent && fresh:
+		a.unanswered++
+		return faultSilent
+	case silent:
+		return faultSilent
+	default:
 		return faultClosed
 	}
-	return &Error{Kind: KindUnreachable, Outcome: outcome.NotRun, Target: a.target.ID, Cause: err}
+}
+
+func dialFault(err error) fault {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return faultRefused
+	}
+	return faultNoConn
 }
 
 func (a *attempt) noteSilent(x *exchange) {
--- a/internal/schedule/local.go
+++ b/internal/schedule/local.go
@@ -9,7 +9,6 @@
 	"github.com/plantainrun/plantainrun/coord/share"
 	"github.com/plantainrun/plantainrun/internal/apierror"
 	"github.com/plantainrun/plantainrun/internal/engineapi"
-	"github.com/plantainrun/plantainrun/internal/memory"
 	"github.com/plantainrun/plantainrun/internal/rules"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
@@ -22,8 +21,7 @@
 // as well; Acquire blocks in real time. It is safe for concurrent use: the
 // state of each model has its own lock.
 type Local struct {
-	cfg    Config
-	ledger *memory.Ledger
+	cfg Config
 
 	mu      sync.RWMutex
 	pools   map[string]*pool // by the model that engines serve
@@ -32,6 +30,7 @@
 	listed  []topology.Target
 	sets    map[string]rules.Set
 	members share.Members
+	counted []string // hosts that count, as of the last rebuild
 	domains map[string]DomainLoad
 }
 
@@ -40,10 +39,8 @@
 // New returns a Local without targets.
 func New(cfg Config) *Local {
 	cfg = cfg.withDefaults()
-	split := share.Config{Self: cfg.Incarnation, Settle: cfg.Settle}
 	return &Local{
 		cfg:     cfg,
-		ledger:  memory.NewLedger(split),
 		pools:   map[string]*pool{},
 		targets: map[string]*pool{},
 		routes:  map[routeKey]*route{},
@@ -70,12 +67,16 @@
 }
 
 // SetHosts takes the live entry hosts of the failure domain, this one
-// included, and those that left gracefully.
+// included, and those that left gracefully. Call it with each refresh of the
+// list, also when nothing changed, so that vanished hosts retire.
 func (l *Local) SetHosts(live, left []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.members.Set(l.cfg.Clock.Now(), live, left)
-	l.rebuildLocked()
+	now := l.cfg.Clock.Now()
+	l.members.Set(now, live, left)
+	if !slices.Equal(l.members.Counted(now), l.counted) {
+		l.rebuildLocked()
+	}
 }
 
 // SetRules takes the rules in force, one set for each partner.
@@ -105,7 +106,8 @@
 // rebuildLocked brings the pools in line with the targets and hosts.
 func (l *Local) rebuildLocked() {
 	now := l.cfg.Clock.Now()
-	hosts := l.members.Counted(now)
+	l.counted = l.members.Counted(now)
+	hosts := l.counted
 	if len(hosts) == 0 {
 		hosts = []string{l.cfg.Self}
 	}
@@ -115,7 +117,7 @@
 	}
 	for model := range byModel {
 		if _, ok := l.pools[model]; !ok {
-			l.pools[model] = newPool(&l.cfg, l.ledger)
+			l.pools[model] = newPool(&l.cfg)
 			l.setWeightsLocked(l.pools[model])
 		}
 	}
@@ -210,7 +212,7 @@
 		need: req.PromptTokens + req.MaxTokens, until: req.Deadline.Add(l.cfg.Grace),
 	}
 	w.shape = r.pool.shape(&w.req, l.objective(req.Partner), l.cfg.Estimator.Rates(r.model))
-	w.priority = l.cfg.Policy.Priority(&w.req, w.shape)
+	w.priority = r.pool.policy.Priority(now, &w.req, w.shape)
 	if err := r.pool.offer(now, w); err != nil {
 		return nil, err
 	}
@@ -338,17 +340,24 @@
 
 // Returned takes back a loan that a peer gave up.
 func (l *Local) Returned(now time.Time, target string, id share.LoanID) {
-	l.ledger.Returned(now, target, id)
 	if p, ok := l.poolOf(target); ok {
+		p.ledger.Returned(now, target, id)
 		p.poll(now)
 	}
 }
 
+// Keeps reports whether this host keeps to its own part of the target's memory,
+// in answer to a peer that started anew.
+func (l *Local) Keeps(now time.Time, target string) bool {
+	p, ok := l.poolOf(target)
+	return !ok || p.ledger.Keeps(now, target)
+}
+
 // Settled tells that every other host which shares the target's memory has
 // confirmed that it keeps to its part.
 func (l *Local) Settled(now time.Time, target string) {
-	l.ledger.Settled(now, target)
 	if p, ok := l.poolOf(target); ok {
+		p.ledger.Settled(now, target)
 		p.poll(now)
 	}
 }
--- a/internal/schedule/policybench/sim.go
+++ b/internal/schedule/policybench/sim.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/coord/retry"
 	"github.com/plantainrun/plantainrun/internal/schedule"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
@@ -66,7 +67,7 @@
 	index  int
 	local  *schedule.Local
 	pollAt time.Time
-	budget float64 // of retries
+	budget *retry.Budget
 }
 
 // Run runs the scenario to its end.
@@ -127,10 +128,15 @@
 }
 
 func (sim *simulation) newHost(i int) *host {
-	h := &host{index: i, budget: retryBurst}
+	budget, err := retry.New(retry.DefaultConfig())
+	if err != nil {
+		panic(err)
+	}
+	h := &host{index: i, budget: budget}
 	domain := i / HostsPerDomain
 	h.local = schedule.New(schedule.Config{
-		Self: hostName(i), Domain: domainName(domain), Clock: sim.clock, Policy: sim.scenario.Policy(sim.scenario.Seed + uint64(i)),
+		Self: hostName(i), Domain: domainName(domain), Clock: sim.clock,
+		NewPolicy:  func() schedule.Policy { return sim.scenario.Policy(sim.scenario.Seed + uint64(i)) },
 		OnDispatch: func(hint schedule.PeerDispatch) { sim.tellPeers(h, hint) },
 		SendAsk:    func(peer string, ask schedule.MemoryAsk) { sim.sendAsk(h, peer, ask) },
 		SendReturn: sim.sendReturn,
@@ -179,7 +185,7 @@
 			sim.result.Asked[r.partner+"/"+r.org] += float64(r.prompt)
 		}
 		h := sim.hosts[r.host]
-		h.budget = min(retryBurst, h.budget+retryFraction)
+		h.budget.First(r.org)
 		sim.offer(h, r)
 		sim.arrivals()
 	})
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/plantainrun/plantainrun/coord/share"
 	"github.com/plantainrun/plantainrun/internal/apierror"
 	"github.com/plantainrun/plantainrun/internal/cost"
 	"github.com/plantainrun/plantainrun/internal/engineapi"
@@ -21,6 +22,7 @@
 type pool struct {
 	cfg    *Config
 	ledger *memory.Ledger
+	policy Policy
 
 	mu      sync.Mutex
 	targets map[string]*targetState
@@ -62,9 +64,10 @@
 	blocked   time.Time // since when only memory is missing
 }
 
-func newPool(cfg *Config, ledger *memory.Ledger) *pool {
+func newPool(cfg *Config) *pool {
+	split := share.Config{Self: cfg.Incarnation, Settle: cfg.Settle}
 	return &pool{
-		cfg: cfg, ledger: ledger,
+		cfg: cfg, ledger: memory.NewLedger(split), policy: cfg.NewPolicy(),
 		targets: map[string]*targetState{},
 		queue:   fairqueue.New[*waiter](cfg.Queues),
 		queued:  map[rules.Class]float64{},
@@ -152,6 +155,7 @@
 		return
 	}
 	var seen misses
+	p.startClaimed(now, &seen)
 	for {
 		it := p.queue.Offer(lookahead, func(it *fairqueue.Item[*waiter]) bool { return p.start(now, it.Value, &seen) })
 		if it == nil {
@@ -162,6 +166,18 @@
 	p.pursueClaim(now)
 }
 
+// startClaimed tries the request that claims memory first: many requests of its
+// organisation may be queued before it.
+func (p *pool) startClaimed(now time.Time, seen *misses) {
+	if p.claim == nil {
+		return
+	}
+	w := p.claim.waiter
+	if p.start(now, w, seen) && p.queue.Take(&w.item) {
+		p.left(w)
+	}
+}
+
 func (p *pool) expire(now time.Time) {
 	for _, it := range p.queue.Expire(now) {
 		w := it.Value
@@ -222,7 +238,7 @@
 	}
 	lacking := p.gather(now, w)
 	if len(p.candidates) > 0 {
-		if i := p.cfg.Policy.Choose(now, &w.req, w.shape, p.candidates); i >= 0 && p.grant(now, w, i) {
+		if i := p.policy.Choose(now, &w.req, w.shape, p.candidates); i >= 0 && p.grant(now, w, i) {
 			return true
 		}
 	}
@@ -242,22 +258,27 @@
 		if !p.enterable(now, w, t) {
 			continue
 		}
-		c := w.route.candidate(i)
+		p.candidates = append(p.candidates, w.route.candidate(i))
+		c := &p.candidates[len(p.candidates)-1]
 		c.Free = p.free(now, w, t)
 		if c.Free < w.need {
-			lacking = lacking || (w.need <= t.memory && p.cfg.Policy.Enters(w.shape, &c))
+			lacking = lacking || (w.need <= t.memory && p.policy.Enters(w.shape, c))
+			p.dropLast()
 			continue
 		}
-		t.estimate(now, &c, p.prefillLeft(w, t), w.priority, w.shape.Class)
+		t.estimate(now, c, p.prefillLeft(w, t), w.priority, w.shape.Class)
 		if !w.inTime(now, c.FirstToken) {
+			p.dropLast()
 			continue
 		}
-		p.candidates = append(p.candidates, c)
 		p.places = append(p.places, place{target: t})
 	}
 	return lacking
 }
 
+// dropLast takes back the candidate that was added last.
+func (p *pool) dropLast() { p.candidates = p.candidates[:len(p.candidates)-1] }
+
 func (p *pool) gatherGroups(now time.Time, w *waiter) (lacking bool) {
 	for i := range w.route.groups {
 		g := &w.route.groups[i]
--- a/internal/server/engines.go
+++ b/internal/server/engines.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/plantainrun/plantainrun/coord/identity"
@@ -13,9 +14,14 @@
 	"github.com/plantainrun/plantainrun/internal/engine"
 	"github.com/plantainrun/plantainrun/internal/engineapi"
 	"github.com/plantainrun/plantainrun/internal/schedule"
+	"github.com/plantainrun/plantainrun/internal/topology"
 )
 
-const engineRetryPause = time.Second
+const (
+	engineRetryPause = time.Second
+	// aliveTimeout bounds the question whether an engine lives.
+	aliveTimeout = 300 * time.Millisecond
+)
 
 // estimate adapts the estimator of token counts.
 type estimate struct{ *cost.Estimator }
@@ -23,29 +29,40 @@
 // PromptTokens estimates the tokens of a prompt of so many bytes.
 func (e estimate) PromptTokens(model string, bytes int) int { return e.Tokens(model, bytes) }
 
+// IdleFirstToken is the time to the first token on an idle engine.
+func (e estimate) IdleFirstToken(model string, promptTokens int) time.Duration {
+	rates := e.Rates(model)
+	return rates.PrefillTime(float64(promptTokens)) + rates.DecodeTime(1)
+}
+
 // engines adapts the engines' client to completion.Engines.
 type engines struct {
-	client *engine.Client
-	self   identity.Incarnation
+	client      *engine.Client
+	self        identity.Incarnation
+	incarnation func(target string) string
 }
 
 // Prepare makes the request that all attempts share.
 func (e *engines) Prepare(req completion.Request) (completion.Call, error) {
-	return &engineCall{client: e.client, req: engineapi.GenerateRequest{
-		ID: req.ID, Owner: e.self.String(), DeadlineMS: req.Deadline.UnixMilli(), Model: req.Model, Adapter: req.Adapter,
+	return &engineCall{client: e.client, incarnation: e.incarnation, req: engineapi.GenerateRequest{
+		ID: req.ID + "." + e.self.Host, Owner: e.self.String(), DeadlineMS: req.Deadline.UnixMilli(), Model: req.Model, Adapter: req.Adapter,
 		Prompt: req.Prompt, MaxTokens: req.MaxTokens, Stop: req.Stop,
 	}}, nil
 }
 
 type engineCall struct {
-	client *engine.Client
-	req    engineapi.GenerateRequest
+	client      *engine.Client
+	req         engineapi.GenerateRequest
+	incarnation func(target string) string
+	tries       int
 }
 
 // Attempt runs the prompt once under grant.
 func (c *engineCall) Attempt(ctx context.Context, grant schedule.Grant, token func(string) error) (completion.Attempt, error) {
 	target := grant.Target()
 	req := c.req
+	c.tries++
+	req.ID = fmt.Sprintf("%s.%d", c.req.ID, c.tries) // engines refuse an id that they know
 	req.Priority = grant.Priority()
 	req.Model = target.Model
 	if parted, ok := grant.(schedule.PartedGrant); ok {
@@ -58,10 +75,27 @@
 	if err == nil {
 		return attempt, nil
 	}
-	attempt.Died = errors.Is(err, &engine.Error{Kind: engine.KindLost})
+	attempt.Died = c.died(ctx, target, err)
 	return attempt, engineError(err, result.Outcome)
 }
 
+// died reports whether the engine's process ended during an attempt that was
+// lost. Where the loss does not tell, the engine is asked: one that does not
+// answer counts as dead, which charges the prompt with a suspicion only.
+func (c *engineCall) died(ctx context.Context, target topology.Target, err error) bool {
+	var failed *engine.Error
+	if !errors.As(err, &failed) || failed.Kind != engine.KindLost {
+		return false
+	}
+	if failed.Died {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	report, err := c.client.Load(ctx, target)
+	return err != nil || report.Incarnation != c.incarnation(target.ID)
+}
+
 // engineError is what a caller is told of a failed attempt that is not repeated.
 func engineError(err error, result outcome.Outcome) error {
 	var e *engine.Error
