Count confirmations from the question, not from reading the answer

Cause: a process that was paused read answers and digests that had waited, and took what they confirm for fresh; an order that asks for a fresh confirmation of the plan could have followed. Confirmations now count from the time of the question; what nobody asked for is a hint, which only decides who reads. Also mended: a digest with a key that is unknown here ended the process.

Ruled out: times of the sender's clock, which need clocks that agree.

--- a/internal/knowledge/exchange.go
+++ b/internal/knowledge/exchange.go
@@ -35,12 +35,14 @@
 	digest := k.digest()
 	k.counters.bytesOut.Add(uint64(proto.Size(digest)))
 	k.counters.exchanges.Add(1)
+	asked := time.Now()
 	answer, err := k.cfg.Links.Exchange(ctx, host, digest)
 	if err != nil {
 		k.counters.exchangeFailures.Add(1)
 		return err
 	}
 	_ = k.heard(host, answer) // what cannot be decoded is counted and comes again
+	k.heardConfirmations(answer.GetDigest(), asked)
 	k.heardAtStart(host, answer.GetDigest().GetInformed())
 	return k.push(ctx, host, nil)
 }
@@ -99,19 +101,51 @@
 	return failed
 }
 
-// heardDigest notes what a peer has, and its confirmations of what is in force here, too.
+// heardDigest notes what a peer has, and when it heard of the service.
 func (k *Knowledge) heardDigest(from string, digest *knowledgepb.Digest) {
 	k.peers.Heard(from, digestOf(digest))
 	now := time.Now()
 	for _, e := range digest.GetEntries() {
 		v, _ := k.store.Get(e.GetKey())
-		same := v.Revision == e.GetRevision() && v.Checksum == e.GetChecksum()
-		if same && e.GetConfirmedMs() > 0 {
-			k.confirmed(e.GetKey(), now.Add(-time.Duration(e.GetConfirmedMs())*time.Millisecond))
+		if f := k.freshness[e.GetKey()]; f != nil && v.Version() == versionIn(e) && e.GetHeardMs() > 0 {
+			k.mu.Lock()
+			f.heardAt = later(f.heardAt, now.Add(-milliseconds(e.GetHeardMs())))
+			k.mu.Unlock()
 		}
 	}
 }
 
+// heardConfirmations takes over what the answer to an exchange confirms. The
+// peer cannot have counted from before it was asked; when other messages were
+// sent is not known, so they confirm nothing.
+func (k *Knowledge) heardConfirmations(digest *knowledgepb.Digest, asked time.Time) {
+	for _, e := range digest.GetEntries() {
+		v, _ := k.store.Get(e.GetKey())
+		if f := k.freshness[e.GetKey()]; f != nil && v.Version() == versionIn(e) && e.GetConfirmedMs() > 0 {
+			k.mu.Lock()
+			f.confirmedAt = later(f.confirmedAt, asked.Add(-milliseconds(e.GetConfirmedMs())))
+			k.mu.Unlock()
+		}
+	}
+}
+
+func versionIn(e *knowledgepb.Entry) dissemination.Version {
+	return dissemination.Version{Revision: e.GetRevision(), Checksum: e.GetChecksum()}
+}
+
+// maxAgeMs bounds the ages that digests give.
+const maxAgeMs = uint64(100 * 365 * 24 * time.Hour / time.Millisecond)
+
+func milliseconds(n uint64) time.Duration { return time.Duration(min(n, maxAgeMs)) * time.Millisecond }
+
+// ago is the form in which digests give times.
+func ago(at time.Time) uint64 {
+	if at.IsZero() {
+		return 0
+	}
+	return 1 + uint64(max(0, time.Since(at).Milliseconds()))
+}
+
 // digest returns what this host has in force.
 func (k *Knowledge) digest() *knowledgepb.Digest {
 	k.mu.Lock()
@@ -119,9 +153,7 @@
 	msg := &knowledgepb.Digest{Host: k.cfg.Host, Informed: k.start.over || k.start.informed() > 0}
 	for _, e := range k.store.Digest() {
 		entry := &knowledgepb.Entry{Key: e.Key, Revision: e.Good.Revision, Checksum: e.Good.Checksum}
-		if at := k.freshness[e.Key].confirmedAt; !at.IsZero() {
-			entry.ConfirmedMs = 1 + uint64(max(0, time.Since(at).Milliseconds()))
-		}
+		entry.ConfirmedMs, entry.HeardMs = ago(k.freshness[e.Key].confirmedAt), ago(k.freshness[e.Key].heardAt)
 		if r := k.refusals[e.Key]; r != nil && versionOf(r).After(e.Good) {
 			entry.RefusedRevision, entry.RefusedChecksum = r.GetRevision(), r.GetChecksum()
 		}
--- a/internal/knowledge/knowledge.go
+++ b/internal/knowledge/knowledge.go
@@ -148,7 +148,7 @@
 
 	mu          sync.Mutex // serialises adoption; guards what follows
 	decoded     decoded
-	freshness   map[string]*freshness
+	freshness   map[string]*freshness           // the map itself never changes
 	refusals    map[string]*knowledgepb.Refusal // the latest of each key
 	unsent      []*knowledgepb.Refusal
 	subscribers []func(Snapshot)
--- a/internal/knowledge/read.go
+++ b/internal/knowledge/read.go
@@ -58,11 +58,12 @@
 	backoff := platform.Backoff{First: firstBackoff, Max: maxBackoff}
 	for ctx.Err() == nil {
 		q := platform.Question{After: k.store.Seen(key), Keys: []string{key}, Wait: k.cfg.WatchWait}
+		asked := time.Now()
 		changes, err := k.cfg.Source.Watch(ctx, q)
 		if err == nil && len(changes) > 0 {
 			err = k.read(ctx, key)
 		} else if err == nil {
-			k.confirmed(key, time.Now())
+			k.confirmed(key, asked)
 		}
 		if err != nil {
 			sleep(ctx, backoff.Next())
--- a/internal/knowledge/readers.go
+++ b/internal/knowledge/readers.go
@@ -58,14 +58,15 @@
 	return int(min(maxReaderGroups, 2+late/standInStep))
 }
 
-// oldest returns how long ago the service last confirmed every key.
+// oldest returns about how long ago the service was last heard of, for the key
+// for which that is longest.
 func (k *Knowledge) oldest() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	at := time.Now()
 	for _, f := range k.freshness {
-		if f.confirmedAt.Before(at) {
-			at = f.confirmedAt
+		if f.heardAt.Before(at) {
+			at = f.heardAt
 		}
 	}
 	if at.Before(k.start.begun) {
--- a/internal/knowledge/status.go
+++ b/internal/knowledge/status.go
@@ -50,17 +50,27 @@
 // freshness is how old the knowledge of one key is.
 type freshness struct {
 	adoptedAt   time.Time
-	confirmedAt time.Time // the service had nothing newer then
+	confirmedAt time.Time // the service had nothing newer then, or later
+	// heardAt is a hint: about when the service was last heard of. An answer that
+	// waited while this process was paused makes it too late.
+	heardAt time.Time
 }
 
-// confirmed notes that the service had nothing newer for key at the time.
-func (k *Knowledge) confirmed(key string, at time.Time) {
+// confirmed notes that the service had nothing newer for key at some time after
+// asked. An answer may be read long after it came, so its own time is a hint only.
+func (k *Knowledge) confirmed(key string, asked time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	f := k.freshness[key]
-	if at.After(f.confirmedAt) {
-		f.confirmedAt = at
+	f.confirmedAt = later(f.confirmedAt, asked)
+	f.heardAt = time.Now()
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
 
 // Age is how old the knowledge of one key is.
@@ -69,7 +79,7 @@
 	Revision uint64 `json:"revision"` // zero: none in force
 	// InForce is how long the revision has been in force here.
 	InForce time.Duration `json:"in_force"`
-	// Confirmed is how long ago the configuration service had nothing newer,
+	// Confirmed is how long ago at most the configuration service had nothing newer,
 	// as heard directly or through peers; negative: never.
 	Confirmed time.Duration `json:"confirmed"`
 	// Refused is a later revision that was kept out, or zero.
