Publish counters of control traffic, and measure an idle host

Cause: the control cost of a whole host was known from parts only, and hints went to every host of the failure domain, which grows with it.

--- a/internal/e2e/calls_test.go
+++ b/internal/e2e/calls_test.go
@@ -28,7 +28,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func freeAddr(t *testing.T) netip.AddrPort {
+func freeAddr(t testing.TB) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
@@ -77,7 +77,7 @@
 }
 
 // newTicket takes a ticket from h.
-func newTicket(t *testing.T, h *host, body string) string {
+func newTicket(t testing.TB, h *host, body string) string {
 	t.Helper()
 	g := gomega.NewWithT(t)
 	r, err := callService(h, "", body)
@@ -87,13 +87,13 @@
 }
 
 // runs is the service's own count of a ticket.
-func runs(t *testing.T, s process, ticket string) int {
+func runs(t testing.TB, s process, ticket string) int {
 	t.Helper()
 	return allRuns(t, s)[ticket]
 }
 
 // allRuns is the service's own count of all tickets.
-func allRuns(t *testing.T, s process) map[string]int {
+func allRuns(t testing.TB, s process) map[string]int {
 	t.Helper()
 	g := gomega.NewWithT(t)
 	resp, err := http.Get("http://" + s.addr.String() + engineapi.PathControl)
--- a/internal/e2e/operate_test.go
+++ b/internal/e2e/operate_test.go
@@ -41,7 +41,7 @@
 	g.Expect(metrics).To(gomega.ContainSubstring(`plantainrun_attempts_total{outcome="done",target="sapporo-engine-1"} 1001`))
 }
 
-func (h *host) metrics(t *testing.T) string {
+func (h *host) metrics(t testing.TB) string {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodGet, "http://"+h.operators.String()+"/metrics", nil)
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -54,7 +54,7 @@
 
 var listening = regexp.MustCompile(`listening on (\S+)`)
 
-func startProcess(t *testing.T, args ...string) *gexec.Session {
+func startProcess(t testing.TB, args ...string) *gexec.Session {
 	t.Helper()
 	g := gomega.NewWithT(t)
 	out := io.Discard
@@ -72,7 +72,7 @@
 	return session
 }
 
-func startStandin(t *testing.T, kind string, args ...string) process {
+func startStandin(t testing.TB, kind string, args ...string) process {
 	t.Helper()
 	g := gomega.NewWithT(t)
 	session := startProcess(t, append([]string{"standin", kind}, args...)...)
@@ -92,7 +92,7 @@
 func (h *host) url(path string) string { return "http://" + h.callers.String() + path }
 
 // start runs the host, again with the same addresses when it ran before.
-func (h *host) start(t *testing.T, extra ...string) {
+func (h *host) start(t testing.TB, extra ...string) {
 	t.Helper()
 	args := append([]string{
 		"serve", "--host-id=" + h.id, "--partner=" + h.partner, "--failure-domain=" + h.domain,
@@ -105,7 +105,7 @@
 	h.Session = startProcess(t, args...)
 }
 
-func (h *host) waitReady(t *testing.T) {
+func (h *host) waitReady(t testing.TB) {
 	t.Helper()
 	gomega.NewWithT(t).Eventually(h.readiness, stateWait, 50*time.Millisecond).Should(gomega.Equal("ready"), "host %s", h.id)
 }
@@ -125,7 +125,7 @@
 }
 
 // run runs a client command against the host and returns its output.
-func (h *host) run(t *testing.T, args ...string) string {
+func (h *host) run(t testing.TB, args ...string) string {
 	t.Helper()
 	args = append(args, "--operators-addr="+h.operators.String())
 	session := startProcess(t, args...)
@@ -152,7 +152,7 @@
 
 // newCluster starts a platform, engines and services in domain "sapporo", and
 // the given number of hosts there.
-func newCluster(t *testing.T, hosts, engines int, engineArgs ...string) *cluster {
+func newCluster(t testing.TB, hosts, engines int, engineArgs ...string) *cluster {
 	t.Helper()
 	c := prepareCluster(t, hosts, engines, engineArgs...)
 	for _, h := range c.hosts {
@@ -165,7 +165,7 @@
 }
 
 // prepareCluster starts all but the hosts.
-func prepareCluster(t *testing.T, hosts, engines int, engineArgs ...string) *cluster {
+func prepareCluster(t testing.TB, hosts, engines int, engineArgs ...string) *cluster {
 	t.Helper()
 	c := &cluster{platform: startStandin(t, "platform")}
 	for i := range engines {
@@ -192,7 +192,7 @@
 	return c
 }
 
-func (c *cluster) publishAll(t *testing.T) {
+func (c *cluster) publishAll(t testing.TB) {
 	t.Helper()
 	var list topology.HostList
 	for _, h := range c.hosts {
@@ -217,7 +217,7 @@
 	}, "\n")
 }
 
-func (c *cluster) publish(t *testing.T, key, body string) {
+func (c *cluster) publish(t testing.TB, key, body string) {
 	t.Helper()
 	g := gomega.NewWithT(t)
 	req, err := http.NewRequest(http.MethodPut, "http://"+c.platform.addr.String()+"/control/values/"+key, strings.NewReader(body))
@@ -228,7 +228,7 @@
 	g.Expect(resp.StatusCode).To(gomega.BeNumerically("<", 300))
 }
 
-func marshal(t *testing.T, v any) string {
+func marshal(t testing.TB, v any) string {
 	t.Helper()
 	body, err := json.Marshal(v)
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
@@ -237,4 +237,4 @@
 
 func examples(name string) string { return filepath.Join("..", "..", "examples", "rules", name) }
 
-func jsonBody(t *testing.T, v any) io.Reader { return strings.NewReader(marshal(t, v)) }
+func jsonBody(t testing.TB, v any) io.Reader { return strings.NewReader(marshal(t, v)) }
--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -20,6 +20,8 @@
 
 const (
 	noTargetRetry = time.Second
+	// maxHintPeers bounds the hosts that hear of each batch of hints.
+	maxHintPeers = 8
 	// elsewhereWait is the longest predicted wait at which another failure domain is tried.
 	elsewhereWait = 30 * time.Second
 	// goneMemory is how long it is remembered since when a process is gone.
@@ -171,6 +173,14 @@
 	return slices.DeleteFunc(slices.Clone(f.table.LiveHosts(f.host.Domain)), func(id string) bool { return id == f.host.ID })
 }
 
+// hintPeers samples the other live hosts of the failure domain: all of a small
+// one, and a bounded number of a large one.
+func (f *fleet) hintPeers() []string {
+	peers := f.neighbours()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(len(peers), maxHintPeers)]
+}
+
 // abroad returns a random live host of another failure domain.
 func (f *fleet) abroad() (string, bool) {
 	others := f.hosts(func(h topology.Host) bool { return h.Domain != f.host.Domain })
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -37,7 +37,7 @@
 		Transport: gossip.NewTransport(s.mesh, gossipTimeout), Logger: s.log,
 	})
 	s.fleet.publish = s.gossip.Publish
-	s.hints = hints.New(s.mesh, s, s.tracker, s.fleet.neighbours)
+	s.hints = hints.New(s.mesh, s, s.tracker, s.fleet.hintPeers)
 	s.orders = orders.New(orders.Config{
 		Host: s.self.Host, Engines: s.engines, Members: s.fleet.table, Known: s.known, Pauses: s.pauses,
 	})
@@ -123,7 +123,7 @@
 	if host, ok := s.fleet.abroad(); ok {
 		s.hints.TellLoads(host, s.scheduler.OwnLoads(s.clk.Now()))
 	}
-	for _, host := range s.fleet.neighbours() {
+	for _, host := range s.fleet.hintPeers() {
 		s.hints.TellLoads(host, s.scheduler.DomainLoads())
 	}
 }
--- a/internal/server/wire.go
+++ b/internal/server/wire.go
@@ -72,6 +72,7 @@
 		ReadBurst:      platformBurst,
 	})
 	s.fleet = newFleet(s.settings.Host, s.clk)
+	s.registerCounters(client)
 	links := knowledge.NewMeshLinks(s.mesh, seeds(s.addrs.Seeds))
 	var err error
 	s.knowledge, err = knowledge.New(knowledge.Config{
