--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -35,6 +35,8 @@
 	ReportLag      time.Duration `long:"report-lag" default:"200ms" description:"age of an engine's load report"`
 	AnswerTokens   int           `long:"answer-tokens" default:"0" description:"length of an engine's answers; 0: the request's limit"`
 	ChecksFencing  bool          `long:"checks-fencing" description:"the engine refuses orders with an old fencing number"`
+	LoadTime       time.Duration `long:"load-time" default:"500ms" description:"time that an engine takes to load another model, version or adapters"`
+	KeepExpired    bool          `long:"keep-expired" description:"the engine never drops a stream at its deadline"`
 	streams        Streams
 }
 
@@ -71,10 +73,11 @@
 
 func (c *standinCommand) engine() error {
 	e := engine.New(engine.Settings{
-		ID: c.ID, Addr: c.Addr, AnswerTokens: c.AnswerTokens, ChecksFencing: c.ChecksFencing, Seed: rand.Uint64(),
+		ID: c.ID, Addr: c.Addr, AnswerTokens: c.AnswerTokens, ChecksFencing: c.ChecksFencing, LoadTime: c.LoadTime, Seed: rand.Uint64(),
 		State: engineapi.State{Model: c.Model, Version: "1", Serving: true},
 		Model: enginemodel.Config{
 			MemoryTokens: c.MemoryTokens, PrefillRate: c.PrefillRate, DecodeInterval: c.DecodeInterval, ReportLag: c.ReportLag,
+			KeepExpired: c.KeepExpired,
 		},
 	})
 	if err := e.Start(); err != nil {
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -163,7 +163,7 @@
 	}
 	crashes := 0
 	for _, e := range c.engines {
-		crashes += engineCrashes(t, e)
+		crashes += engineCounts(t, e).Crashes
 	}
 	t.Logf("%d refused, %d crashes", refused, crashes)
 	g.Expect(crashes).To(gomega.BeNumerically("<=", 2))
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -1,7 +1,6 @@
 package e2e_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -12,7 +11,6 @@
 	"github.com/onsi/gomega"
 
 	"github.com/plantainrun/plantainrun/internal/engineapi"
-	"github.com/plantainrun/plantainrun/internal/standin/engine"
 )
 
 // balancer picks hosts that say that they are ready, as the platform's does.
@@ -168,18 +166,3 @@
 	resp.Body.Close()
 	g.Expect(resp.StatusCode).To(gomega.BeNumerically("<", 300))
 }
-
-// engineCrashes is how often an engine crashed, by its own count.
-func engineCrashes(t *testing.T, e process) int {
-	t.Helper()
-	g := gomega.NewWithT(t)
-	var resp *http.Response
-	g.Eventually(func() (err error) {
-		resp, err = http.Get("http://" + e.addr.String() + engineapi.PathControl) // refused while the engine is down
-		return err
-	}, stateWait).Should(gomega.Succeed())
-	defer resp.Body.Close()
-	var counts engine.Counts
-	g.Expect(json.NewDecoder(resp.Body).Decode(&counts)).To(gomega.Succeed())
-	return counts.Crashes
-}
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -26,6 +26,7 @@
 	borrowInterval = 500 * time.Millisecond // between two looks at the limits
 	keepInterval   = 250 * time.Millisecond // between two questions to the sharers of engines
 	gossipTimeout  = 2 * time.Second
+	sweepInterval  = 20 * time.Second
 	confirmedFor   = time.Minute // how long a plan counts as confirmed
 )
 
@@ -41,7 +42,9 @@
 	s.orders = orders.New(orders.Config{
 		Host: s.self.Host, Engines: s.engines, Members: s.fleet.table, Known: s.known, Pauses: s.pauses,
 	})
-	s.sweeper = sweep.New(sweep.Options{Host: s.self.Host, Domain: s.settings.Host.Domain, Clock: s.clk}, s.engines, s.fleet)
+	s.sweeper = sweep.New(sweep.Options{
+		Host: s.self.Host, Domain: s.settings.Host.Domain, Interval: sweepInterval, Clock: s.clk,
+	}, s.engines, s.fleet)
 	return nil
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -62,6 +62,7 @@
 // Counts is what the engine did since its start, over all incarnations.
 type Counts struct {
 	Submitted map[string]int // prompts taken, by request id
+	Refused   int            // prompts refused since the engine leaves
 	Cancelled int
 	Crashes   int
 }
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -60,6 +60,9 @@
 		ReserveTokens: e.share(req, tokens),
 	}
 	if reason := reasonOf(e.model.Submit(now, job)); reason != "" {
+		if reason == engineapi.ReasonLeaving {
+			e.counts.Refused++
+		}
 		return nil, reason
 	}
 	s := newStream(req.ID, hash, tokens)
