Let large prompts pay their limit in parts, and fill the status page

Cause: an organisation's burst is split over the hosts, so a prompt above one host's part was refused for good: 1,000,000 tokens never passed a burst of 4,000,000 over 13 hosts (307,692 each). The status had no quarantine, no closed ledgers and no requests in progress. Ruled out: letting one prompt run into debt (the sum over hosts would exceed the limit by a prompt for each). Figures: with 1,000 tokens a second and as much burst, 5,000 tokens pass after 4 s of virtual time; with 2 s left they are refused at once, to come back in 4 s, and nothing is taken. Conclusion: a request above the burst waits within its own time limit.

--- a/coord/share/limiter.go
+++ b/coord/share/limiter.go
@@ -131,6 +131,14 @@
 	return ok
 }
 
+// Burst is the most that one Allow may take now.
+func (l *Limiter) Burst(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance(now)
+	return l.bucket.Burst()
+}
+
 // Available is the rate that the host may let through now, per second.
 func (l *Limiter) Available(now time.Time) float64 {
 	l.mu.Lock()
--- /dev/null
+++ b/coord/suspect/quarantine.go
@@ -0,0 +1,41 @@
+package suspect
+
+import (
+	"bytes"
+	"encoding/hex"
+	"slices"
+	"time"
+)
+
+// Quarantine is one fingerprint that is refused.
+type Quarantine struct {
+	Fingerprint Fingerprint
+	Left        time.Duration // until it may run again
+}
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// Quarantined lists the fingerprints that are refused now, in order.
+func (t *Tracker) Quarantined() []Quarantine {
+	var list []Quarantine
+	now := t.clk.Now()
+	for i := range t.shards {
+		list = t.shards[i].quarantined(now, list)
+	}
+	slices.SortFunc(list, func(a, b Quarantine) int { return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
+	return list
+}
+
+// quarantined appends the shard's fingerprints in quarantine to list.
+func (s *shard) quarantined(now time.Time, list []Quarantine) []Quarantine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for fp, m := range s.marks {
+		m.refresh(now)
+		if m.quarantined() {
+			list = append(list, Quarantine{Fingerprint: fp, Left: m.until.Sub(now)})
+		}
+	}
+	return list
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -75,6 +75,8 @@
 	Refused(kind apierror.Kind)
 	FirstToken(class rules.Class, partner string, took time.Duration)
 	Finished(class rules.Class, partner string, took time.Duration)
+	// Track counts a request as in progress until the returned function is called.
+	Track(iface string) func()
 }
 
 // Limits bounds what callers may ask for.
@@ -100,12 +102,20 @@
 
 // Register adds the callers' routes to srv.
 func (h *Handler) Register(srv *httpserver.Server) {
-	srv.Handle(http.MethodPost, "/v1/completions", h.completions)
-	srv.Handle(http.MethodPost, "/v1/chat/completions", h.chat)
-	srv.HandlePrefix(servicePrefix, http.HandlerFunc(h.service))
+	srv.Handle(http.MethodPost, "/v1/completions", h.tracked("prompts", h.completions))
+	srv.Handle(http.MethodPost, "/v1/chat/completions", h.tracked("prompts", h.chat))
+	srv.HandlePrefix(servicePrefix, h.tracked("services", h.service))
 	srv.SetFallback(http.HandlerFunc(h.notFound))
 }
 
+// tracked counts the requests that next serves as in progress.
+func (h *Handler) tracked(iface string, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		defer h.Observer.Track(iface)()
+		next(w, r)
+	}
+}
+
 // identity is who calls and for how long the answer is wanted.
 type identity struct {
 	id      string
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -39,6 +39,9 @@
 	if !st.Ready {
 		ready = "NOT READY: " + st.NotReady
 	}
+	if st.Note != "" {
+		ready += ", but " + st.Note
+	}
 	if st.Draining {
 		ready += ", draining"
 	}
@@ -46,9 +49,9 @@
 	fmt.Fprintf(out, "queued %d, tickets %d of %d (%d bytes), closed ledgers %d, platform reader: %t\n",
 		st.Queued, st.Tickets.Held, st.Tickets.Capacity, st.Tickets.Bytes, st.Tickets.ClosedLedgers, st.Reader)
 	tw := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(tw, "\nVALUE\tREVISION\tCONFIRMED\tSOURCE\tPROBLEM")
+	fmt.Fprintln(tw, "\nVALUE\tREVISION\tCONFIRMED\tPROBLEM")
 	for _, v := range st.Values {
-		fmt.Fprintf(tw, "%s\t%d\t%s ago\t%s\t%s\n", v.Key, v.Revision, seconds(v.AgeSeconds), v.Source, v.Problem)
+		fmt.Fprintf(tw, "%s\t%d\t%s\t%s\n", v.Key, v.Revision, ago(v.AgeSeconds), v.Problem)
 	}
 	fmt.Fprintln(tw, "\nTARGET\tMODEL\tSTATE\tRUNNING\tWAIT\tMEMORY RESERVED")
 	for _, t := range st.Targets {
@@ -58,9 +61,9 @@
 	for _, p := range st.Peers {
 		fmt.Fprintf(tw, "%s\t%s\t%s\n", p.Host, p.Incarnation, p.State)
 	}
-	fmt.Fprintln(tw, "\nQUARANTINED\tUNTIL")
+	fmt.Fprintln(tw, "\nQUARANTINED\tFOR")
 	for _, q := range st.Quarantined {
-		fmt.Fprintf(tw, "%s\t%s\n", q.Fingerprint, q.Until.Format(time.RFC3339))
+		fmt.Fprintf(tw, "%s\t%s\n", q.Fingerprint, seconds(q.LeftSeconds))
 	}
 	fmt.Fprintln(tw, "\nREFUSALS\tCOUNT")
 	for _, r := range st.Refusals {
@@ -69,6 +72,13 @@
 	_ = tw.Flush()
 }
 
+func ago(s float64) string {
+	if s < 0 {
+		return "never"
+	}
+	return seconds(s) + " ago"
+}
+
 func seconds(s float64) string {
 	return (time.Duration(s*1000) * time.Millisecond).String()
 }
--- a/internal/cli/rules.go
+++ b/internal/cli/rules.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -28,7 +27,7 @@
 	}
 	partner := c.Partner
 	if partner == "" {
-		partner = partnerOf(string(file))
+		partner = rules.PartnerOf(file)
 	}
 	set, faults := rules.Parse(partner, file)
 	if len(faults) == 0 {
@@ -40,14 +39,3 @@
 	}
 	return eris.Errorf("%s: %d faults, nothing would be taken", c.Args.File, len(faults))
 }
-
-// partnerOf returns the partner that the file names for itself.
-func partnerOf(file string) string {
-	for line := range strings.Lines(file) {
-		fields := strings.Fields(line)
-		if len(fields) >= 2 && fields[0] == "partner" {
-			return fields[1]
-		}
-	}
-	return ""
-}
--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -73,8 +73,8 @@
 // Limiter holds back organisations that are over their limit.
 type Limiter interface {
 	// Take takes tokens of the organisation's limit, or returns a refusal with
-	// when to come back.
-	Take(org rules.Organisation, tokens int) error
+	// when to come back. It may wait within the context's time.
+	Take(ctx context.Context, org rules.Organisation, tokens int) error
 }
 
 // RetryBudget bounds retries as a fraction of first tries.
@@ -137,7 +137,7 @@
 	r := &run{Local: l, req: req, sink: sink}
 	r.tokens = l.Estimator.PromptTokens(req.Model, len(req.Prompt))
 	if !req.Forwarded {
-		if err := l.Limiter.Take(req.Organisation, r.tokens+req.MaxTokens); err != nil {
+		if err := l.Limiter.Take(ctx, req.Organisation, r.tokens+req.MaxTokens); err != nil {
 			return Result{}, err
 		}
 	}
--- a/internal/completion/run_test.go
+++ b/internal/completion/run_test.go
@@ -73,14 +73,14 @@
 	return a, apierror.New(apierror.KindTargetFailed, s.outcome, "ask again", "attempt failed")
 }
 
-func (f *fakes) PromptTokens(string, int) int             { return 1000 }
-func (f *fakes) IdleFirstToken(string, int) time.Duration { return time.Second }
-func (f *fakes) Take(rules.Organisation, int) error       { return nil }
-func (f *fakes) Died()                                    {}
-func (f *fakes) Alone() bool                              { return false }
-func (f *fakes) Avoid() []string                          { return nil }
-func (f *fakes) On(string) error                          { return nil }
-func (f *fakes) End(bool)                                 {}
+func (f *fakes) PromptTokens(string, int) int                        { return 1000 }
+func (f *fakes) IdleFirstToken(string, int) time.Duration            { return time.Second }
+func (f *fakes) Take(context.Context, rules.Organisation, int) error { return nil }
+func (f *fakes) Died()                                               {}
+func (f *fakes) Alone() bool                                         { return false }
+func (f *fakes) Avoid() []string                                     { return nil }
+func (f *fakes) On(string) error                                     { return nil }
+func (f *fakes) End(bool)                                            {}
 
 // suspects gives every run the same account.
 type suspects struct{ *fakes }
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +12,7 @@
 	"github.com/plantainrun/plantainrun/coord/identity"
 	"github.com/plantainrun/plantainrun/coord/share"
 	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/cost"
 	"github.com/plantainrun/plantainrun/internal/rules"
 )
 
@@ -76,23 +78,62 @@
 	}
 }
 
-// Take takes tokens of the organisation's limit or refuses with when to come back.
-func (l *limits) Take(org rules.Organisation, tokens int) error {
+// Take takes tokens of the organisation's limit, or refuses with when to come
+// back. A request above what the host may let through at once is paid for in
+// parts, for which it waits if its time limit allows.
+func (l *limits) Take(ctx context.Context, org rules.Organisation, tokens int) error {
 	limiter := l.limiter(org.Name)
 	if limiter == nil {
 		return nil
 	}
-	ok, wait := limiter.Allow(l.clk.Now(), tokens)
-	if ok {
-		return nil
+	if over := tokens - limiter.Burst(l.clk.Now()); over > 0 {
+		wait := cost.Seconds(float64(over) / limiter.Available(l.clk.Now()))
+		if !fits(ctx, wait) {
+			return limitError(org, wait)
+		}
 	}
-	if wait == 0 {
-		wait = limitRetry
+	for first := true; tokens > 0; first = false {
+		now := l.clk.Now()
+		part := min(tokens, limiter.Burst(now))
+		if part == 0 {
+			return limitError(org, limitRetry)
+		}
+		ok, wait := limiter.Allow(now, part)
+		if ok {
+			tokens -= part
+			continue
+		}
+		rest := cost.Seconds(float64(tokens-part) / limiter.Available(now))
+		if (first && part == tokens) || !fits(ctx, wait+rest) || !sleep(ctx, wait) {
+			return limitError(org, wait+rest)
+		}
 	}
+	return nil
+}
+
+func limitError(org rules.Organisation, wait time.Duration) error {
 	return apierror.NotRun(apierror.KindLimitExceeded, "come back later, or ask your partner for a higher limit",
 		"the limit of %s of %.0f tokens a second is used up here", org.Name, org.TokensPerSecond).After(wait)
 }
 
+// fits reports whether a wait ends before the context's deadline.
+func fits(ctx context.Context, wait time.Duration) bool {
+	deadline, ok := ctx.Deadline()
+	return !ok || time.Until(deadline) > wait
+}
+
+// sleep waits and reports whether ctx was still on.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // borrow asks hosts for loans of the shares that run short here, and renews
 // those that end soon.
 func (l *limits) borrow(hosts []string, ask func(host string, a share.Ask)) {
--- /dev/null
+++ b/internal/server/limits_test.go
@@ -0,0 +1,67 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/internal/apierror"
+	"github.com/plantainrun/plantainrun/internal/rules"
+)
+
+// limited returns limits of one host for an organisation of 1,000 tokens a
+// second with a burst of as many.
+func limited(t *testing.T) (*limits, rules.Organisation) {
+	t.Helper()
+	org := rules.Organisation{Name: "kushiro/school", KeyHashes: []string{"00"}, TokensPerSecond: 1000, BurstTokens: 1000}
+	l := newLimits(identity.Incarnation{Host: "a", Start: 1}, clock.System{})
+	l.setHosts([]string{"a"}, nil)
+	l.setRules(rules.NewBook(&rules.Set{Partner: "kushiro", Organisations: []rules.Organisation{org}}))
+	time.Sleep(2 * time.Second) // the burst fills
+	return l, org
+}
+
+func TestLargeRequestIsPaidForInParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		l, org := limited(t)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		start := time.Now()
+		g.Expect(l.Take(ctx, org, 5000)).To(gomega.Succeed())
+		g.Expect(time.Since(start)).To(gomega.BeNumerically("~", 4*time.Second, time.Millisecond))
+	})
+}
+
+func TestLargeRequestThatCannotBePaidInTimeIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		l, org := limited(t)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		start := time.Now()
+		err := l.Take(ctx, org, 5000)
+		var e *apierror.Error
+		g.Expect(errors.As(err, &e)).To(gomega.BeTrue())
+		g.Expect(e.RetryAfter).To(gomega.BeNumerically("~", 4*time.Second, time.Millisecond))
+		g.Expect(time.Since(start)).To(gomega.BeZero())
+		g.Expect(l.Take(ctx, org, 1000)).To(gomega.Succeed(), "nothing was taken for it")
+	})
+}
+
+func TestSmallRequestOverTheLimitIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		l, org := limited(t)
+		g.Expect(l.Take(context.Background(), org, 1000)).To(gomega.Succeed())
+		start := time.Now()
+		g.Expect(l.Take(context.Background(), org, 500)).NotTo(gomega.Succeed())
+		g.Expect(time.Since(start)).To(gomega.BeZero())
+	})
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -57,6 +57,7 @@
 	scheduler *schedule.Local
 	engines   *engine.Client
 	owner     *once.Owner
+	closed    *ledger.ClosedStore
 	ledgers   *forward.Ledgers
 	limits    *limits
 	poller    *poller
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -64,10 +64,18 @@
 	st := status.Status{
 		Host: s.self.Host, Incarnation: s.self.String(), Version: buildinfo.Version,
 		Partner: s.settings.Host.Partner, Domain: s.settings.Host.Domain,
-		Ready: s.Ready() == nil, NotReady: ready.Reason, Draining: s.isDraining(),
+		Ready: s.Ready() == nil, Draining: s.isDraining(),
 		UpSeconds: time.Since(s.started).Seconds(), Reader: s.knowledge.Stats().Reader,
 		Values: s.values(), Peers: s.peers(), Refusals: s.refusals.counters(), Tickets: s.tickets(),
 	}
+	if ready.Ready {
+		st.Note = ready.Reason
+	} else {
+		st.NotReady = ready.Reason
+	}
+	for _, q := range s.tracker.Quarantined() {
+		st.Quarantined = append(st.Quarantined, status.Quarantine{Fingerprint: q.Fingerprint.String(), LeftSeconds: q.Left.Seconds()})
+	}
 	snap := s.scheduler.Snapshot()
 	for _, t := range snap.Targets {
 		st.Targets = append(st.Targets, targetStatus(t))
@@ -131,5 +139,6 @@
 
 func (s *Server) tickets() status.Tickets {
 	stats := s.owner.Stats().Ledger
-	return status.Tickets{Held: int(stats.Entries), Capacity: s.settings.Limits.LedgerEntries, Bytes: stats.Bytes}
+	closed, _ := s.closed.Len()
+	return status.Tickets{ClosedLedgers: closed, Held: int(stats.Entries), Capacity: s.settings.Limits.LedgerEntries, Bytes: stats.Bytes}
 }
--- a/internal/server/wire.go
+++ b/internal/server/wire.go
@@ -130,8 +130,8 @@
 	if err != nil {
 		return err
 	}
-	store := ledger.NewClosedStore(s.clk, closedLedgers, closedBytes)
-	s.ledgers = forward.NewLedgers(s.mesh, store, s.fleet)
+	s.closed = ledger.NewClosedStore(s.clk, closedLedgers, closedBytes)
+	s.ledgers = forward.NewLedgers(s.mesh, s.closed, s.fleet)
 	forward.ServeCalls(s.mesh, s.owner)
 	router := once.NewRouter(s.owner, s.ledgers, forward.NewCalls(s.mesh, s.fleet))
 	calls := &serviceCalls{router: router, repeat: idempotent.New(s.fleet, svc, budget), rules: s}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -1,8 +1,6 @@
 // Package status holds what an operator sees of one host at a glance.
 package status
 
-import "time"
-
 // Status is the state of one host.
 type Status struct {
 	Host        string           `json:"host"`
@@ -12,6 +10,7 @@
 	Domain      string           `json:"failure_domain"`
 	Ready       bool             `json:"ready"`
 	NotReady    string           `json:"not_ready_because,omitempty"`
+	Note        string           `json:"note,omitempty"` // what a ready host lacks
 	Draining    bool             `json:"draining"`
 	UpSeconds   float64          `json:"up_seconds"`
 	Values      []Value          `json:"values"`
@@ -28,8 +27,7 @@
 type Value struct {
 	Key        string  `json:"key"`
 	Revision   uint64  `json:"revision"`
-	AgeSeconds float64 `json:"age_seconds"` // since the last confirmation
-	Source     string  `json:"source"`
+	AgeSeconds float64 `json:"age_seconds"` // since the last confirmation; negative: never confirmed
 	Problem    string  `json:"problem,omitempty"`
 }
 
@@ -53,8 +51,8 @@
 
 // Quarantine is one refused fingerprint.
 type Quarantine struct {
-	Fingerprint string    `json:"fingerprint"`
-	Until       time.Time `json:"until"`
+	Fingerprint string  `json:"fingerprint"`
+	LeftSeconds float64 `json:"left_seconds"`
 }
 
 // Tickets counts the tickets that this host owns.
