Be ready only when the engines' memory is confirmed, and pass on what engines say

Cause: the cut test failed once under load: hosts were cut from each other right after they had become ready, before they had confirmed the parts of engine memory, so that a prompt waited 8.94 s of its 9 s. Readiness now includes it. An engine that said in an answer that it leaves was heard only by the next poll. Ruled out: a shorter settling time (it guards loans of a predecessor).

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -7,8 +7,10 @@
 	"io"
 
 	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
 
 	"github.com/plantainrun/plantainrun/internal/buildinfo"
+	"github.com/plantainrun/plantainrun/internal/logging"
 )
 
 // Exit codes of the binary.
@@ -33,6 +35,7 @@
 // Run parses args, without the program's name, and runs the command. It
 // returns the exit code.
 func Run(args []string, streams Streams) int {
+	logging.Route(zap.NewNop()) // until a command has a log of its own
 	parser := newParser(streams)
 	_, err := parser.ParseArgs(args)
 	var flagErr *flags.Error
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -11,9 +11,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/rest/httpc"
-	"go.uber.org/zap"
 
-	"github.com/plantainrun/plantainrun/internal/logging"
 	"github.com/plantainrun/plantainrun/internal/operator"
 )
 
@@ -32,7 +30,6 @@
 // call sends one request to the operators' interface and decodes the answer
 // into out. It returns the raw answer.
 func (o *clientOptions) call(method, path, who string, out any) ([]byte, error) {
-	logging.Route(zap.NewNop())
 	addr, err := netip.ParseAddrPort(o.Addr)
 	if err != nil {
 		return nil, &usageError{eris.Errorf("--operators-addr: %q is not IP:port", o.Addr)}
--- a/internal/completion/run.go
+++ b/internal/completion/run.go
@@ -22,12 +22,10 @@
 type Attempt struct {
 	Outcome outcome.Outcome
 	// Died is set when the engine's process ended during the attempt.
-	Died bool
-	// Leaving is set when the engine said that it is leaving.
-	Leaving bool
-	Tokens  int // tokens that reached the sink
-	Reason  string
-	Usage   engineapi.Usage
+	Died   bool
+	Tokens int // tokens that reached the sink
+	Reason string
+	Usage  engineapi.Usage
 }
 
 // Call is one prompt prepared for any number of attempts.
--- a/internal/server/engines.go
+++ b/internal/server/engines.go
@@ -40,21 +40,21 @@
 	client      *engine.Client
 	self        identity.Incarnation
 	incarnation func(target string) string
+	leaving     func(target topology.Target) // is told when an engine says that it leaves
 }
 
 // Prepare makes the request that all attempts share.
 func (e *engines) Prepare(req completion.Request) (completion.Call, error) {
-	return &engineCall{client: e.client, incarnation: e.incarnation, req: engineapi.GenerateRequest{
+	return &engineCall{engines: e, req: engineapi.GenerateRequest{
 		ID: req.ID + "." + e.self.Host, Owner: e.self.String(), DeadlineMS: req.Deadline.UnixMilli(), Model: req.Model, Adapter: req.Adapter,
 		Prompt: req.Prompt, MaxTokens: req.MaxTokens, Stop: req.Stop,
 	}}, nil
 }
 
 type engineCall struct {
-	client      *engine.Client
-	req         engineapi.GenerateRequest
-	incarnation func(target string) string
-	tries       int
+	*engines
+	req   engineapi.GenerateRequest
+	tries int
 }
 
 // Attempt runs the prompt once under grant.
@@ -70,7 +70,10 @@
 	}
 	result, err := c.client.Generate(ctx, target, req, func(chunk engineapi.Chunk) error { return token(chunk.Token) })
 	attempt := completion.Attempt{
-		Outcome: result.Outcome, Tokens: result.Tokens, Reason: result.Reason, Usage: result.Usage, Leaving: result.Leaving,
+		Outcome: result.Outcome, Tokens: result.Tokens, Reason: result.Reason, Usage: result.Usage,
+	}
+	if result.Leaving {
+		c.leaving(target)
 	}
 	if err == nil {
 		return attempt, nil
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -150,6 +150,12 @@
 	s.hints.Announce(s.fleet.neighbours(), hint)
 }
 
+// engineLeaving closes an engine that said that it leaves, and passes it on.
+func (s *Server) engineLeaving(target topology.Target) {
+	s.scheduler.TargetLeaving(target.ID, "")
+	s.fleet.Leaving(target)
+}
+
 // reported implements targetObserver.
 func (s *Server) reported(target, incarnation string, at time.Time, leaving bool) {
 	s.gossip.Publish(s.fleet.table.ObserveTarget(target, incarnation, at, leaving))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -70,6 +71,7 @@
 	callers   *httpserver.Server
 	operators *httpserver.Server
 
+	wasSettled atomic.Bool
 	background sync.WaitGroup
 	stop       context.CancelFunc
 
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -52,6 +52,22 @@
 	if !ready.Ready {
 		return apierror.NotRun(apierror.KindNotReady, ready.Next, "%s", ready.Reason)
 	}
+	return s.settled()
+}
+
+// settled returns nil once the hosts that share the engines' memory have
+// confirmed that they keep to their parts, or the wait for them is over. It
+// holds for good then: a later change leaves the host a part that it may use.
+func (s *Server) settled() error {
+	if s.wasSettled.Load() {
+		return nil
+	}
+	if waiting := s.scheduler.Unsettled(s.clk.Now()); len(waiting) > 0 {
+		return apierror.NotRun(apierror.KindNotReady,
+			"asks the hosts that share the engines, and serves without their answer after "+settleMemory.String(),
+			"%d engines' memory is not confirmed by the hosts that share it", len(waiting))
+	}
+	s.wasSettled.Store(true)
 	return nil
 }
 
@@ -64,14 +80,15 @@
 	st := status.Status{
 		Host: s.self.Host, Incarnation: s.self.String(), Version: buildinfo.Version,
 		Partner: s.settings.Host.Partner, Domain: s.settings.Host.Domain,
-		Ready: s.Ready() == nil, Draining: s.isDraining(),
+		Draining:  s.isDraining(),
 		UpSeconds: time.Since(s.started).Seconds(), Reader: s.knowledge.Stats().Reader,
 		Values: s.values(), Peers: s.peers(), Refusals: s.refusals.counters(), Tickets: s.tickets(),
 	}
-	if ready.Ready {
-		st.Note = ready.Reason
+	if err := s.Ready(); err != nil {
+		st.NotReady = err.Error()
 	} else {
-		st.NotReady = ready.Reason
+		st.Ready = true
+		st.Note = ready.Reason
 	}
 	for _, q := range s.tracker.Quarantined() {
 		st.Quarantined = append(st.Quarantined, status.Quarantine{Fingerprint: q.Fingerprint.String(), LeftSeconds: q.Left.Seconds()})
--- a/internal/server/wire.go
+++ b/internal/server/wire.go
@@ -136,7 +136,7 @@
 	router := once.NewRouter(s.owner, s.ledgers, forward.NewCalls(s.mesh, s.fleet))
 	calls := &serviceCalls{router: router, repeat: idempotent.New(s.fleet, svc, budget), rules: s}
 	runner := &completion.Local{
-		Estimator: estimate{s.estimator}, Scheduler: s.scheduler, Engines: &engines{client: s.engines, self: s.self, incarnation: s.poller.incarnation},
+		Estimator: estimate{s.estimator}, Scheduler: s.scheduler, Engines: &engines{client: s.engines, self: s.self, incarnation: s.poller.incarnation, leaving: s.engineLeaving},
 		Suspects: &suspects{tracker: s.tracker, incarnation: s.poller.incarnation}, Limiter: s.limits, Retries: budget, Observer: s.metrics, Clock: s.clk,
 	}
 	prompts := forward.NewPrompts(s.mesh, s.fleet, estimate{s.estimator})
