Test prompts that run in another failure domain

Cause: the way of a prompt to another domain had no test. Figures: a host whose domain has no engine answers the whole text through the other domain; with the links cut it refuses with 503, not_run and Retry-After. Conclusion: holds with two processes.

--- a/internal/e2e/cut_test.go
+++ b/internal/e2e/cut_test.go
@@ -135,3 +135,40 @@
 	}
 	g.Eventually(func() string { return far.run(t, "audit", "--subject=rules/kushiro") }, stateWait).Should(gomega.ContainSubstring("short 9s"))
 }
+
+// A host whose own failure domain has no engine has its prompts run in the
+// other one. When that is cut off, callers are refused with when to come back.
+func TestPromptsRunInAnotherDomainWhenTheOwnHasNoRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := prepareCluster(t, 1, 1)
+	far := &host{id: "asahikawa-1", domain: "asahikawa", partner: partner, platform: c.platform.addr}
+	far.callers, far.peers, far.operators = freeAddr(t), freeAddr(t), freeAddr(t)
+	c.hosts = append(c.hosts, far)
+	way := newRelay(t, c.hosts[0].peers)
+	back := newRelay(t, far.peers)
+	c.publish(t, "hosts", marshal(t, topology.HostList{Hosts: []topology.Host{
+		{ID: c.hosts[0].id, Partner: partner, Domain: "sapporo", State: topology.StateLive, PeerAddr: way.addr()},
+		{ID: far.id, Partner: partner, Domain: far.domain, State: topology.StateLive, PeerAddr: back.addr()},
+	}}))
+	for _, h := range c.hosts {
+		h.start(t)
+	}
+	for _, h := range c.hosts {
+		h.waitReady(t)
+	}
+	g.Eventually(func() string {
+		a, err := prompt(far, "which glue", 10, 0)
+		if err != nil || !a.whole {
+			return ""
+		}
+		return a.text
+	}, stateWait).Should(gomega.Equal(wholeText("which glue", 10)))
+
+	way.setCut(true)
+	back.setCut(true)
+	a, err := prompt(far, "which glue now", 10, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(a.status).To(gomega.Equal(http.StatusServiceUnavailable), "%+v", a)
+	g.Expect(a.err.Run).To(gomega.Equal("not_run"))
+	g.Expect(a.err.RetryAfterSeconds).To(gomega.BeNumerically(">", 0))
+}
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -44,6 +44,8 @@
 	}
 	exit(0, "version")
 	exit(0, "--help")
+	exit(0, "serve", "--help")
+	exit(0, "demo")
 	exit(0, "rules", "check", examples("kushiro.rules"))
 	exit(0, "rules", "check", examples("aarhus.rules"))
 	exit(1, "rules", "check", "process_test.go")
