--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -31,7 +31,11 @@
 	HeaderRequestID = "X-Request-Id"
 )
 
-const servicePrefix = "/v1/services/"
+const (
+	servicePrefix = "/v1/services/"
+	// bodyTimeout is how long a caller may take to send its body.
+	bodyTimeout = time.Minute
+)
 
 // Rules is what the callers' interface asks of the rules in force.
 type Rules interface {
@@ -183,6 +187,9 @@
 	if r.ContentLength > h.Limits.BodyBytes {
 		return nil, h.tooLarge()
 	}
+	ctl := http.NewResponseController(w)
+	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
 	limited := http.MaxBytesReader(w, r.Body, h.Limits.BodyBytes)
 	var body []byte
 	var err error
@@ -197,7 +204,7 @@
 		return nil, h.tooLarge()
 	}
 	if err != nil {
-		return nil, apierror.NotRun(apierror.KindBadRequest, "send the body again", "the body ended early")
+		return nil, apierror.NotRun(apierror.KindBadRequest, "send the body again", "the body ended early or took longer than %s", bodyTimeout)
 	}
 	return body, nil
 }
