Keep lists and plans out of the audit trail's lines

Cause: a key of another kind than rules was reported with its own name as partner, so each change of the host list put the whole list into the trail: up to a megabyte an entry, 4,096 entries. Seen in the output of plantainrun audit. Conclusion: only rules have a partner and lines.

--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -110,3 +110,13 @@
 		g.Expect(last).To(gomega.And(gomega.BeNumerically(">=", ceiling/2), gomega.BeNumerically("<", ceiling)))
 	}
 }
+
+func TestOnlyRulesHaveAPartner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	partner, ok := platform.RulesPartner(platform.RulesKey("aarhus"))
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(partner).To(gomega.Equal("aarhus"))
+	partner, ok = platform.RulesPartner(platform.KeyHosts)
+	g.Expect(ok).To(gomega.BeFalse())
+	g.Expect(partner).To(gomega.BeEmpty(), "the audit trail takes a value with a partner for rules and keeps its lines")
+}
--- a/internal/platform/value.go
+++ b/internal/platform/value.go
@@ -23,9 +23,15 @@
 // RulesKey returns the key of a partner's rules file.
 func RulesKey(partner string) string { return rulesPrefix + partner }
 
-// RulesPartner returns the partner whose rules key is given; false: the key
-// is of another kind.
-func RulesPartner(key string) (string, bool) { return strings.CutPrefix(key, rulesPrefix) }
+// RulesPartner returns the partner whose rules key is given; "" and false: the
+// key is of another kind.
+func RulesPartner(key string) (string, bool) {
+	partner, ok := strings.CutPrefix(key, rulesPrefix)
+	if !ok {
+		return "", false
+	}
+	return partner, true
+}
 
 // Value is one published value.
 type Value struct {
