Ask peers for suspicions when a host starts

Cause: a quarantine ended early when the host that runs the suspects was replaced: with all three hosts replaced, the same prompt lost two more engines. Ruled out: a longer period (the new process knows nothing of it). Conclusion: a new process asks neighbours until two have answered.

--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
 
 	"github.com/plantainrun/plantainrun/internal/standin/engine"
 	"github.com/plantainrun/plantainrun/internal/standin/service"
@@ -169,4 +170,23 @@
 	g.Expect(crashes).To(gomega.BeNumerically("<=", 2))
 	g.Expect(refused).To(gomega.BeNumerically(">", 20))
 	g.Expect(streams.end()).To(gomega.BeEmpty())
+
+	// The quarantine outlives each host.
+	for _, h := range c.hosts {
+		h.Kill()
+		g.Eventually(h.Session, stateWait).Should(gexec.Exit())
+		h.start(t)
+		h.waitReady(t)
+	}
+	for _, h := range c.hosts {
+		g.Eventually(func() string {
+			a, _ := prompt(h, "a poison prompt", 20, 10*time.Second)
+			return a.err.Kind
+		}, stateWait).Should(gomega.Equal("quarantined"))
+	}
+	crashes = 0
+	for _, e := range c.engines {
+		crashes += engineCounts(t, e).Crashes
+	}
+	g.Expect(crashes).To(gomega.BeNumerically("<=", 2))
 }
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -24,8 +24,9 @@
 )
 
 const (
-	methodBatch     = "hints/batch"
-	methodSuspicion = "hints/suspicion"
+	methodBatch      = "hints/batch"
+	methodSuspicion  = "hints/suspicion"
+	methodSuspicions = "hints/suspicions"
 )
 
 // Bounds of what is sent.
@@ -85,6 +86,7 @@
 	h := &Hints{mesh: m, receiver: receiver, suspects: suspects, peers: peers, pending: make(map[string]*hintspb.Batch)}
 	m.Handle(methodBatch, h.serveBatch)
 	m.Handle(methodSuspicion, h.serveSuspicion)
+	m.Handle(methodSuspicions, h.serveSuspicions)
 	return h
 }
 
--- a/internal/hints/suspicion.go
+++ b/internal/hints/suspicion.go
@@ -16,6 +16,8 @@
 // SuspicionReceiver learns what other hosts tell of requests that crash targets.
 type SuspicionReceiver interface {
 	Learn(h suspect.Hint)
+	// Snapshot returns all that is known of this period's deaths.
+	Snapshot() []suspect.Hint
 }
 
 // Announce tells all given hosts and waits until each has learned it, or is
@@ -44,6 +46,31 @@
 	return s.Send(&hintspb.Received{})
 }
 
+// LearnFrom asks host for all that it knows of requests that crash targets,
+// for a process that starts.
+func (h *Hints) LearnFrom(ctx context.Context, host string) error {
+	var reply hintspb.Suspicions
+	if err := call(ctx, h.mesh, host, methodSuspicions, &hintspb.SuspicionQuery{}, &reply); err != nil {
+		h.failures.Add(1)
+		return err
+	}
+	for _, msg := range reply.GetKnown() {
+		h.suspects.Learn(suspicionOf(msg))
+	}
+	return nil
+}
+
+func (h *Hints) serveSuspicions(_ context.Context, s *mesh.Stream) error {
+	if err := s.Recv(&hintspb.SuspicionQuery{}); err != nil {
+		return err
+	}
+	reply := &hintspb.Suspicions{}
+	for _, hint := range h.suspects.Snapshot() {
+		reply.Known = append(reply.Known, suspicionMessage(hint))
+	}
+	return s.Send(reply)
+}
+
 func suspicionMessage(hint suspect.Hint) *hintspb.Suspicion {
 	msg := &hintspb.Suspicion{
 		Kind: uint32(hint.Kind), Target: hint.Death.Target, Incarnation: hint.Death.Incarnation,
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -26,6 +26,8 @@
 	borrowInterval = 500 * time.Millisecond // between two looks at the limits
 	keepInterval   = 250 * time.Millisecond // between two questions to the sharers of engines
 	gossipTimeout  = 2 * time.Second
+	learnRounds    = 120 // of asking neighbours at the start
+	learnAnswers   = 2   // hosts whose answers suffice
 	sweepInterval  = 20 * time.Second
 	confirmedFor   = time.Minute // how long a plan counts as confirmed
 )
@@ -59,6 +61,7 @@
 	s.run(func() { every(ctx, tellInterval, s.tellLoads) })
 	s.run(func() { every(ctx, borrowInterval, s.borrow) })
 	s.run(func() { every(ctx, keepInterval, s.askKeeps) })
+	s.run(func() { s.learnSuspicions(ctx) })
 }
 
 func every(ctx context.Context, interval time.Duration, do func()) {
@@ -145,6 +148,25 @@
 	}
 }
 
+// learnSuspicions asks the hosts of the failure domain, when this process
+// starts, for the requests that crash targets, until so many have answered.
+func (s *Server) learnSuspicions(ctx context.Context) {
+	answered := make(map[string]bool)
+	for range learnRounds {
+		for _, host := range s.fleet.hintPeers() {
+			if !answered[host] && s.hints.LearnFrom(ctx, host) == nil {
+				answered[host] = true
+			}
+			if len(answered) >= learnAnswers {
+				return
+			}
+		}
+		if !sleep(ctx, keepInterval) {
+			return
+		}
+	}
+}
+
 // announce tells the hosts of the failure domain of a suspicion.
 func (s *Server) announce(hint suspect.Hint) {
 	s.hints.Announce(s.fleet.neighbours(), hint)
