--- a/internal/e2e/idle_test.go
+++ b/internal/e2e/idle_test.go
@@ -1,6 +1,7 @@
 package e2e_test
 
 import (
+	"fmt"
 	"regexp"
 	"strconv"
 	"testing"
@@ -29,7 +30,39 @@
 	}
 }
 
-// value reads one unlabelled sample.
+// The load of one host at the target size.
+const (
+	loadedStreams = 230
+	loadedTokens  = 340 // of each answer
+	settleWindow  = 5 * time.Second
+)
+
+// BenchmarkLoadedHost measures what one host spends on streams: 230 at a time
+// with 40 ms between tokens, short prompts.
+func BenchmarkLoadedHost(b *testing.B) {
+	c := newCluster(b, 1, 4, "--decode-interval=40ms", "--memory-tokens=4000000", "--prefill-rate=1000000")
+	h := c.hosts[0]
+	streams := startLoad(loadedStreams, func(caller, round int) string {
+		_, err := prompt(h, fmt.Sprintf("caller %d round %d", caller, round), loadedTokens, stateWait)
+		if err != nil {
+			return err.Error()
+		}
+		return ""
+	})
+	time.Sleep(settleWindow)
+	for b.Loop() {
+		before := h.metrics(b)
+		time.Sleep(idleWindow)
+		after := h.metrics(b)
+		spent := func(name string) float64 { return value(b, after, name) - value(b, before, name) }
+		b.ReportMetric(100*spent("process_cpu_seconds_total")/idleWindow.Seconds(), "%core")
+		b.ReportMetric(value(b, after, "process_resident_memory_bytes")/(1<<20), "MiB-resident")
+		b.ReportMetric(value(b, after, `plantainrun_requests_in_progress\{interface="prompts"\}`), "streams")
+	}
+	gomega.NewWithT(b).Expect(streams.end()).To(gomega.BeEmpty())
+}
+
+// value reads one sample.
 func value(b *testing.B, metrics, name string) float64 {
 	b.Helper()
 	found := regexp.MustCompile(`(?m)^` + name + ` (\S+)$`).FindStringSubmatch(metrics)
