Give readers enough calls for their watches

Ruled out: longer watches (they confirm what is in force, every 2 s). Conclusion: found by reading the settings against the watches; no process test of the 9 s exists, since a verdict must not hang on the machine's speed.

--- a/internal/server/wire.go
+++ b/internal/server/wire.go
@@ -1,9 +1,11 @@
 package server
 
 import (
+	"math"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/plantainrun/plantainrun/coord/ledger"
@@ -66,6 +68,9 @@
 
 // buildKnowledge makes the client of the platform and what the host knows.
 func (s *Server) buildKnowledge() error {
+	if err := enoughReads(s.settings.Platform); err != nil {
+		return err
+	}
 	client := platform.NewClient(platform.Config{
 		Address:        "http://" + s.addrs.Platform.String(),
 		ReadsPerSecond: s.settings.Platform.ReadsPerSecond,
@@ -87,6 +92,18 @@
 	return nil
 }
 
+// enoughReads checks that a reader's waiting watches leave as many calls again
+// for the values that change.
+func enoughReads(p config.Platform) error {
+	const listsAndPlan = 3 // keys besides the partners' rules
+	watches := float64(len(p.Partners())+listsAndPlan) / knowledge.DefaultWatchWait.Seconds()
+	if p.ReadsPerSecond < 2*watches {
+		return eris.Errorf("--platform-reads: %.1f a second are too few, a reader's watches alone need %.1f; give %.0f or more",
+			p.ReadsPerSecond, watches, math.Ceil(2*watches))
+	}
+	return nil
+}
+
 func seeds(settings []config.Seed) []topology.Host {
 	hosts := make([]topology.Host, 0, len(settings))
 	for _, seed := range settings {
