Hold told outcomes against the engines' own counts, on fresh connections

Cause: with processes nothing compared 'not run' with what engines took; and a question to a stand-in could land on the connection that it had been told to silence, and hang (seen once: the engine fault test ran into its limit). Conclusion: questions to stand-ins use new connections and end after 5 s.

--- a/internal/e2e/calls_test.go
+++ b/internal/e2e/calls_test.go
@@ -86,6 +86,12 @@
 	return r.header.Get("Idempotency-Key")
 }
 
+// askTimeout bounds one question to a stand-in, whose connection may go silent.
+const askTimeout = 5 * time.Second
+
+// standins asks stand-ins, on a new connection each time.
+var standins = &http.Client{Timeout: askTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+
 // runs is the service's own count of a ticket.
 func runs(t testing.TB, s process, ticket string) int {
 	t.Helper()
@@ -96,7 +102,7 @@
 func allRuns(t testing.TB, s process) map[string]int {
 	t.Helper()
 	g := gomega.NewWithT(t)
-	resp, err := http.Get("http://" + s.addr.String() + engineapi.PathControl)
+	resp, err := standins.Get("http://" + s.addr.String() + engineapi.PathControl)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer resp.Body.Close()
 	var counts service.Counts
@@ -106,6 +112,7 @@
 
 // answer is a streamed answer.
 type answer struct {
+	id     string
 	status int
 	text   string
 	tokens int
@@ -146,7 +153,7 @@
 }
 
 func readAnswer(resp *http.Response) (answer, error) {
-	a := answer{status: resp.StatusCode}
+	a := answer{id: resp.Header.Get("X-Request-Id"), status: resp.StatusCode}
 	if resp.StatusCode != http.StatusOK {
 		var failure openai.ErrorBody
 		err := json.NewDecoder(resp.Body).Decode(&failure)
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -93,6 +93,7 @@
 	defer b.close()
 	var mu sync.Mutex
 	broken := 0
+	var notRun []string
 	streams := startLoad(6, func(caller, round int) string {
 		text := fmt.Sprintf("caller %d round %d", caller, round)
 		a, err := prompt(b.pick(), text, 40, 20*time.Second)
@@ -105,6 +106,9 @@
 			return ""
 		}
 		broken++
+		if a.err.Run == "not_run" {
+			notRun = append(notRun, a.id)
+		}
 		if a.err.Kind == "" {
 			return fmt.Sprintf("%s: broke off without an error: %+v %v", text, a, err)
 		}
@@ -124,7 +128,14 @@
 		g.Eventually(streams.count, stateWait).Should(gomega.BeNumerically(">", before+20))
 	}
 	g.Expect(streams.end()).To(gomega.BeEmpty())
-	t.Logf("%d streams, %d broke off with an error", streams.count(), broken)
+	t.Logf("%d streams, %d broke off with an error, %d of them not run", streams.count(), broken, len(notRun))
+	for _, e := range c.engines {
+		for id := range engineCounts(t, e).Submitted {
+			for _, told := range notRun {
+				g.Expect(id).NotTo(gomega.HavePrefix(told+"."), "told not_run, but an engine took it")
+			}
+		}
+	}
 	g.Expect(broken).To(gomega.BeNumerically("<", streams.count()/4), "most faults are mended")
 }
 
--- a/internal/e2e/targets_test.go
+++ b/internal/e2e/targets_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"testing"
 	"time"
 
@@ -100,11 +99,11 @@
 	return counts
 }
 
-// getJSON asks a stand-in, again while it is down.
+// getJSON asks a stand-in, again while it is down or silent.
 func getJSON(t *testing.T, p process, path string, into any) {
 	t.Helper()
 	gomega.NewWithT(t).Eventually(func() error {
-		resp, err := http.Get(fmt.Sprintf("http://%s%s", p.addr, path))
+		resp, err := standins.Get(fmt.Sprintf("http://%s%s", p.addr, path))
 		if err != nil {
 			return err
 		}
