Rename the client of the product's configuration service to confservice

Cause: internal/platform beside the coming platform/ folder (the users' platform) would be two packages of one name. Ruled out: renaming the users' folder, whose name is given.

--- a/internal/platform/client.go
+++ b/internal/confservice/client.go
@@ -1,4 +1,4 @@
-package platform
+package confservice
 
 import (
 	"context"
--- a/internal/platform/client_test.go
+++ b/internal/confservice/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package confservice_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/onsi/gomega"
 	"github.com/zeromicro/go-zero/core/logx"
 
-	"github.com/plantainrun/plantainrun/internal/platform"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	standin "github.com/plantainrun/plantainrun/internal/standin/platform"
 )
 
@@ -19,33 +19,33 @@
 	m.Run()
 }
 
-func serve(t *testing.T, cfg platform.Config) (*standin.Service, *platform.Client) {
+func serve(t *testing.T, cfg confservice.Config) (*standin.Service, *confservice.Client) {
 	service := standin.New()
 	server := httptest.NewServer(service.Handler())
 	t.Cleanup(server.Close)
 	cfg.Address, cfg.Name = server.URL, t.Name()
-	return service, platform.NewClient(cfg)
+	return service, confservice.NewClient(cfg)
 }
 
 func TestReadAndWatch(t *testing.T) {
 	g := gomega.NewWithT(t)
-	service, client := serve(t, platform.Config{})
+	service, client := serve(t, confservice.Config{})
 	ctx := t.Context()
 
-	_, err := client.Read(ctx, platform.KeyPlan)
-	var missing *platform.NotFoundError
+	_, err := client.Read(ctx, confservice.KeyPlan)
+	var missing *confservice.NotFoundError
 	g.Expect(errors.As(err, &missing)).To(gomega.BeTrue())
 
-	revision, err := service.Publish(platform.RulesKey("kushiro"), []byte("body"))
+	revision, err := service.Publish(confservice.RulesKey("kushiro"), []byte("body"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	changes, err := client.Watch(ctx, platform.Question{Keys: []string{platform.KeyPlan, "rules/kushiro"}, Wait: time.Minute})
+	changes, err := client.Watch(ctx, confservice.Question{Keys: []string{confservice.KeyPlan, "rules/kushiro"}, Wait: time.Minute})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(changes).To(gomega.Equal([]platform.Change{{Key: "rules/kushiro", Revision: revision}}))
+	g.Expect(changes).To(gomega.Equal([]confservice.Change{{Key: "rules/kushiro", Revision: revision}}))
 	v, err := client.Read(ctx, "rules/kushiro")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(v).To(gomega.Equal(platform.Value{Key: "rules/kushiro", Revision: revision, Body: []byte("body")}))
+	g.Expect(v).To(gomega.Equal(confservice.Value{Key: "rules/kushiro", Revision: revision, Body: []byte("body")}))
 
-	changes, err = client.Watch(ctx, platform.Question{After: revision, Keys: []string{"rules/kushiro"}, Wait: time.Millisecond})
+	changes, err = client.Watch(ctx, confservice.Question{After: revision, Keys: []string{"rules/kushiro"}, Wait: time.Millisecond})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(changes).To(gomega.BeEmpty())
 	g.Expect(service.Stats().Calls()).To(gomega.Equal(uint64(4)))
@@ -55,26 +55,26 @@
 
 func TestAnOlderAnswerIsRecognised(t *testing.T) {
 	g := gomega.NewWithT(t)
-	service, client := serve(t, platform.Config{})
-	first, _ := service.Publish(platform.KeyPlan, []byte("1"))
-	_, _ = service.Publish(platform.KeyPlan, []byte("2"))
-	_, err := client.Read(t.Context(), platform.KeyPlan)
+	service, client := serve(t, confservice.Config{})
+	first, _ := service.Publish(confservice.KeyPlan, []byte("1"))
+	_, _ = service.Publish(confservice.KeyPlan, []byte("2"))
+	_, err := client.Read(t.Context(), confservice.KeyPlan)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	service.SetFaults(standin.Faults{StaleAt: first})
-	_, err = client.Read(t.Context(), platform.KeyPlan)
-	var older *platform.OlderError
+	_, err = client.Read(t.Context(), confservice.KeyPlan)
+	var older *confservice.OlderError
 	g.Expect(errors.As(err, &older)).To(gomega.BeTrue())
 	g.Expect(client.Stats().Older).To(gomega.Equal(uint64(1)))
 }
 
 func TestADownServiceIsUnavailableAndComesBack(t *testing.T) {
 	g := gomega.NewWithT(t)
-	service, client := serve(t, platform.Config{ReadsPerSecond: 1000})
-	_, _ = service.Publish(platform.KeyPlan, []byte("1"))
+	service, client := serve(t, confservice.Config{ReadsPerSecond: 1000})
+	_, _ = service.Publish(confservice.KeyPlan, []byte("1"))
 	service.SetFaults(standin.Faults{Down: true})
 	for range 50 {
-		_, err := client.Read(t.Context(), platform.KeyPlan)
-		var unavailable *platform.UnavailableError
+		_, err := client.Read(t.Context(), confservice.KeyPlan)
+		var unavailable *confservice.UnavailableError
 		g.Expect(errors.As(err, &unavailable)).To(gomega.BeTrue())
 	}
 	// What the breaker refuses is not sent and not counted as a read.
@@ -84,25 +84,25 @@
 
 	service.SetFaults(standin.Faults{})
 	g.Eventually(func() error {
-		_, err := client.Read(t.Context(), platform.KeyPlan)
+		_, err := client.Read(t.Context(), confservice.KeyPlan)
 		return err
 	}, time.Minute, 50*time.Millisecond).Should(gomega.Succeed())
 }
 
 func TestTheRateIsLimited(t *testing.T) {
 	g := gomega.NewWithT(t)
-	service, client := serve(t, platform.Config{ReadsPerSecond: 0.001, ReadBurst: 3})
+	service, client := serve(t, confservice.Config{ReadsPerSecond: 0.001, ReadBurst: 3})
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	for range 6 {
-		_, _ = client.Read(ctx, platform.KeyPlan)
+		_, _ = client.Read(ctx, confservice.KeyPlan)
 	}
 	g.Expect(service.Stats().Reads).To(gomega.Equal(uint64(3)))
 }
 
 func TestBackoffGrowsToItsBound(t *testing.T) {
 	g := gomega.NewWithT(t)
-	b := platform.Backoff{First: time.Second, Max: 10 * time.Second}
+	b := confservice.Backoff{First: time.Second, Max: 10 * time.Second}
 	var last time.Duration
 	for i := range 100 {
 		last = b.Next()
@@ -113,10 +113,10 @@
 
 func TestOnlyRulesHaveAPartner(t *testing.T) {
 	g := gomega.NewWithT(t)
-	partner, ok := platform.RulesPartner(platform.RulesKey("aarhus"))
+	partner, ok := confservice.RulesPartner(confservice.RulesKey("aarhus"))
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(partner).To(gomega.Equal("aarhus"))
-	partner, ok = platform.RulesPartner(platform.KeyHosts)
+	partner, ok = confservice.RulesPartner(confservice.KeyHosts)
 	g.Expect(ok).To(gomega.BeFalse())
 	g.Expect(partner).To(gomega.BeEmpty(), "the audit trail takes a value with a partner for rules and keeps its lines")
 }
--- a/internal/platform/value.go
+++ b/internal/confservice/value.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's configuration service. The
+// Package confservice is the client of the platform's configuration service. The
 // service can only be read and watched.
-package platform
+package confservice
 
 import (
 	"fmt"
--- a/internal/knowledge/adopt.go
+++ b/internal/knowledge/adopt.go
@@ -9,7 +9,7 @@
 
 	"github.com/plantainrun/plantainrun/coord/dissemination"
 	"github.com/plantainrun/plantainrun/internal/audit"
-	"github.com/plantainrun/plantainrun/internal/platform"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/rules"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
@@ -44,21 +44,21 @@
 // validators decode each key. They run while k.mu is held.
 func (k *Knowledge) validators() map[string]dissemination.Validate {
 	v := map[string]dissemination.Validate{
-		platform.KeyHosts: func(v dissemination.Value) (err error) {
+		confservice.KeyHosts: func(v dissemination.Value) (err error) {
 			k.decoded.hosts, err = decodeHosts(v.Body)
 			return err
 		},
-		platform.KeyTargets: func(v dissemination.Value) (err error) {
+		confservice.KeyTargets: func(v dissemination.Value) (err error) {
 			k.decoded.targets, err = decodeTargets(v.Body)
 			return err
 		},
-		platform.KeyPlan: func(v dissemination.Value) (err error) {
+		confservice.KeyPlan: func(v dissemination.Value) (err error) {
 			k.decoded.plan, err = decodePlan(v.Body)
 			return err
 		},
 	}
 	for _, partner := range k.cfg.Partners {
-		v[platform.RulesKey(partner)] = func(v dissemination.Value) error {
+		v[confservice.RulesKey(partner)] = func(v dissemination.Value) error {
 			set, faults := rules.Parse(partner, v.Body)
 			if len(faults) > 0 {
 				return &invalidError{reasons: reasonsOf(faults)}
@@ -103,16 +103,16 @@
 // adopted puts v in force; the caller holds k.mu.
 func (k *Knowledge) adopted(before, v dissemination.Value, source string) {
 	next := k.Snapshot()
-	partner, isRules := platform.RulesPartner(v.Key)
+	partner, isRules := confservice.RulesPartner(v.Key)
 	switch {
 	case isRules:
 		k.decoded.sets[partner] = k.decoded.set
 		k.putRules(&next, partner, v.Revision)
-	case v.Key == platform.KeyHosts:
+	case v.Key == confservice.KeyHosts:
 		next.Hosts, next.HostsRevision = k.decoded.hosts, v.Revision
-	case v.Key == platform.KeyTargets:
+	case v.Key == confservice.KeyTargets:
 		next.Targets, next.TargetsRevision = k.decoded.targets, v.Revision
-	case v.Key == platform.KeyPlan:
+	case v.Key == confservice.KeyPlan:
 		next.Plan, next.PlanRevision = k.decoded.plan, v.Revision
 	}
 	k.snapshot.Store(&next)
--- a/internal/knowledge/cluster_test.go
+++ b/internal/knowledge/cluster_test.go
@@ -14,9 +14,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainrun/plantainrun/coord/rendezvous"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/knowledge"
 	"github.com/plantainrun/plantainrun/internal/knowledge/knowledgepb"
-	"github.com/plantainrun/plantainrun/internal/platform"
 	standin "github.com/plantainrun/plantainrun/internal/standin/platform"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
@@ -135,10 +135,10 @@
 
 func revisionsOf(s knowledge.Snapshot) map[string]uint64 {
 	revisions := map[string]uint64{
-		platform.KeyHosts: s.HostsRevision, platform.KeyTargets: s.TargetsRevision, platform.KeyPlan: s.PlanRevision,
+		confservice.KeyHosts: s.HostsRevision, confservice.KeyTargets: s.TargetsRevision, confservice.KeyPlan: s.PlanRevision,
 	}
 	for _, r := range s.RulesRevisions {
-		revisions[platform.RulesKey(r.Partner)] = r.Revision
+		revisions[confservice.RulesKey(r.Partner)] = r.Revision
 	}
 	return revisions
 }
@@ -153,18 +153,18 @@
 }
 
 func (s source) lost(ctx context.Context) error {
-	_ = pause(ctx, platform.DefaultTimeout)
-	return &platform.UnavailableError{Reason: errLost.Error(), Cause: errLost}
+	_ = pause(ctx, confservice.DefaultTimeout)
+	return &confservice.UnavailableError{Reason: errLost.Error(), Cause: errLost}
 }
 
-func (s source) Read(ctx context.Context, key string) (platform.Value, error) {
+func (s source) Read(ctx context.Context, key string) (confservice.Value, error) {
 	if s.cut() {
-		return platform.Value{}, s.lost(ctx)
+		return confservice.Value{}, s.lost(ctx)
 	}
 	return s.h.c.service.Read(ctx, key)
 }
 
-func (s source) Watch(ctx context.Context, q platform.Question) ([]platform.Change, error) {
+func (s source) Watch(ctx context.Context, q confservice.Question) ([]confservice.Change, error) {
 	if s.cut() {
 		return nil, s.lost(ctx)
 	}
--- a/internal/knowledge/codec.go
+++ b/internal/knowledge/codec.go
@@ -7,8 +7,8 @@
 	"github.com/klauspost/compress/zstd"
 
 	"github.com/plantainrun/plantainrun/coord/dissemination"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/knowledge/knowledgepb"
-	"github.com/plantainrun/plantainrun/internal/platform"
 )
 
 const (
@@ -86,7 +86,7 @@
 	if err != nil {
 		return dissemination.Value{}, err
 	}
-	if len(body) > platform.MaxValueBytes {
+	if len(body) > confservice.MaxValueBytes {
 		return dissemination.Value{}, errors.New("the value is larger than the configuration service allows")
 	}
 	return dissemination.Value{Key: msg.GetKey(), Revision: msg.GetRevision(), Checksum: msg.GetChecksum(), Body: body}, nil
--- a/internal/knowledge/faults_test.go
+++ b/internal/knowledge/faults_test.go
@@ -10,8 +10,8 @@
 	"github.com/onsi/gomega"
 
 	"github.com/plantainrun/plantainrun/internal/audit"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/knowledge"
-	"github.com/plantainrun/plantainrun/internal/platform"
 	"github.com/plantainrun/plantainrun/internal/rules"
 	standin "github.com/plantainrun/plantainrun/internal/standin/platform"
 )
@@ -19,10 +19,10 @@
 // startAll publishes lists and a first file per partner, starts all hosts and
 // waits until they have settled.
 func startAll(t *testing.T, c *cluster) {
-	c.publish(t, platform.KeyHosts, c.list())
-	c.publish(t, platform.KeyTargets, someTargets)
+	c.publish(t, confservice.KeyHosts, c.list())
+	c.publish(t, confservice.KeyTargets, someTargets)
 	for _, p := range partners {
-		c.publish(t, platform.RulesKey(p), rulesFile(p, 1))
+		c.publish(t, confservice.RulesKey(p), rulesFile(p, 1))
 	}
 	for _, h := range c.hosts {
 		c.start(h, knowledge.Config{})
@@ -50,7 +50,7 @@
 		defer c.close()
 		startAll(t, c)
 		c.service.SetFaults(standin.Faults{NoLimit: true})
-		key := platform.RulesKey("kushiro")
+		key := confservice.RulesKey("kushiro")
 		for i, b := range bad {
 			refused := c.publish(t, key, b.body)
 			time.Sleep(inForceWithin)
@@ -87,7 +87,7 @@
 		c := newCluster(1, 4, 1)
 		defer c.close()
 		startAll(t, c)
-		c.publish(t, platform.RulesKey("kushiro"), []byte("partner kushiro\n"))
+		c.publish(t, confservice.RulesKey("kushiro"), []byte("partner kushiro\n"))
 		time.Sleep(inForceWithin)
 		fresh := c.hosts[2]
 		c.crash(fresh)
@@ -113,7 +113,7 @@
 		for _, h := range c.hosts[5:8] {
 			c.crash(h)
 		}
-		newest := c.publish(t, platform.RulesKey("kushiro"), rulesFile("kushiro", 2))
+		newest := c.publish(t, confservice.RulesKey("kushiro"), rulesFile("kushiro", 2))
 		const cutOff = 10 * time.Minute
 		time.Sleep(cutOff)
 		g.Expect(last.k.Ready().Ready).To(gomega.BeTrue())
@@ -121,7 +121,7 @@
 		for _, age := range last.k.Ages() {
 			g.Expect(age.Confirmed).To(gomega.BeNumerically("~", cutOff, time.Minute), age.Key)
 		}
-		g.Expect(last.k.ConfirmedWithin(platform.KeyPlan, time.Minute)).To(gomega.BeFalse())
+		g.Expect(last.k.ConfirmedWithin(confservice.KeyPlan, time.Minute)).To(gomega.BeFalse())
 
 		c.start(fresh, knowledge.Config{})
 		time.Sleep(knowledge.DefaultStartWait + time.Second)
@@ -133,7 +133,7 @@
 		c.set(func() { c.noPlatform["domain-1"], c.cutOff["domain-1"] = false, false })
 		time.Sleep(inForceWithin)
 		for _, h := range []*host{last, fresh} {
-			g.Expect(revisionsOf(h.k.Snapshot())[platform.RulesKey("kushiro")]).To(gomega.Equal(newest))
+			g.Expect(revisionsOf(h.k.Snapshot())[confservice.RulesKey("kushiro")]).To(gomega.Equal(newest))
 		}
 	})
 }
@@ -155,8 +155,8 @@
 		g.Expect(ready.Reason).To(gomega.ContainSubstring("nobody gave a valid value of any partner's rules, targets"))
 		g.Expect(ready.Next).To(gomega.ContainSubstring("keeps asking"))
 
-		c.publish(t, platform.KeyTargets, someTargets)
-		c.publish(t, platform.RulesKey("aarhus"), rulesFile("aarhus", 1))
+		c.publish(t, confservice.KeyTargets, someTargets)
+		c.publish(t, confservice.RulesKey("aarhus"), rulesFile("aarhus", 1))
 		c.set(func() { c.noPlatform["domain-0"] = false })
 		time.Sleep(inForceWithin)
 		g.Expect(h.k.Ready()).To(gomega.Equal(knowledge.Readiness{Ready: true}))
--- a/internal/knowledge/fleet_test.go
+++ b/internal/knowledge/fleet_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/knowledge"
-	"github.com/plantainrun/plantainrun/internal/platform"
 	standin "github.com/plantainrun/plantainrun/internal/standin/platform"
 )
 
@@ -20,9 +20,9 @@
 		g := gomega.NewWithT(t)
 		c := newCluster(1, 36, 1) // more than a host asks directly
 		defer c.close()
-		key := platform.RulesKey("kushiro")
-		c.publish(t, platform.KeyHosts, c.list())
-		c.publish(t, platform.KeyTargets, someTargets)
+		key := confservice.RulesKey("kushiro")
+		c.publish(t, confservice.KeyHosts, c.list())
+		c.publish(t, confservice.KeyTargets, someTargets)
 		old := c.publish(t, key, rulesFile("kushiro", 1))
 		newest := c.publish(t, key, rulesFile("kushiro", 2))
 		for _, h := range c.hosts {
@@ -59,7 +59,7 @@
 		c := newCluster(1, 36, 1) // more than a host asks directly
 		defer c.close()
 		startAll(t, c)
-		key := platform.RulesKey("kushiro")
+		key := confservice.RulesKey("kushiro")
 		stale := c.service.Revision()
 		newest := c.publish(t, key, rulesFile("kushiro", 2))
 		time.Sleep(inForceWithin)
@@ -105,7 +105,7 @@
 			defer c.close()
 			startAll(t, c)
 			for range 2 {
-				revision := c.publish(t, platform.RulesKey("kushiro"), rulesFile("kushiro", 2))
+				revision := c.publish(t, confservice.RulesKey("kushiro"), rulesFile("kushiro", 2))
 				for _, h := range c.hosts {
 					if h.k.Stats().Reader {
 						c.crash(h)
@@ -114,7 +114,7 @@
 				time.Sleep(inForceWithin)
 				for _, h := range c.hosts {
 					if h.k != nil {
-						g.Expect(revisionsOf(h.k.Snapshot())[platform.RulesKey("kushiro")]).To(gomega.Equal(revision), h.id)
+						g.Expect(revisionsOf(h.k.Snapshot())[confservice.RulesKey("kushiro")]).To(gomega.Equal(revision), h.id)
 					} else {
 						c.start(h, knowledge.Config{})
 					}
@@ -137,7 +137,7 @@
 		defer c.close()
 		startAll(t, c)
 		c.set(func() { c.lossPercent = 20 })
-		key := platform.RulesKey("kushiro")
+		key := confservice.RulesKey("kushiro")
 		for i := range 5 {
 			revision := c.publish(t, key, rulesFile("kushiro", i+2))
 			published := time.Now()
--- a/internal/knowledge/knowledge.go
+++ b/internal/knowledge/knowledge.go
@@ -16,16 +16,16 @@
 
 	"github.com/plantainrun/plantainrun/coord/dissemination"
 	"github.com/plantainrun/plantainrun/internal/audit"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/knowledge/knowledgepb"
-	"github.com/plantainrun/plantainrun/internal/platform"
 	"github.com/plantainrun/plantainrun/internal/rules"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
 
-// Source reads and watches published values, as platform.Client does.
+// Source reads and watches published values, as confservice.Client does.
 type Source interface {
-	Read(ctx context.Context, key string) (platform.Value, error)
-	Watch(ctx context.Context, q platform.Question) ([]platform.Change, error)
+	Read(ctx context.Context, key string) (confservice.Value, error)
+	Watch(ctx context.Context, q confservice.Question) ([]confservice.Change, error)
 }
 
 // Links reaches other hosts. Implementations are safe for concurrent use.
--- a/internal/knowledge/knowledge_test.go
+++ b/internal/knowledge/knowledge_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/knowledge"
-	"github.com/plantainrun/plantainrun/internal/platform"
 	standin "github.com/plantainrun/plantainrun/internal/standin/platform"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
@@ -49,8 +49,8 @@
 			_, err := service.Publish(key, body)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 		}
-		publish(platform.RulesKey("kushiro"), rulesFile("kushiro", 1))
-		publish(platform.KeyTargets, someTargets)
+		publish(confservice.RulesKey("kushiro"), rulesFile("kushiro", 1))
+		publish(confservice.KeyTargets, someTargets)
 		k, err := knowledge.New(knowledge.Config{
 			Host: "a", Domain: "sapporo", Partners: []string{"kushiro", "aarhus"}, Source: service,
 		})
@@ -62,7 +62,7 @@
 		g.Expect(k.Ready()).To(gomega.Equal(knowledge.Readiness{Ready: true}))
 		g.Expect(k.Snapshot().Targets.Targets).To(gomega.HaveLen(1))
 
-		publish(platform.RulesKey("kushiro"), rulesFile("kushiro", 2))
+		publish(confservice.RulesKey("kushiro"), rulesFile("kushiro", 2))
 		time.Sleep(time.Second)
 		g.Expect(k.Snapshot().Rules.LimitFor("kushiro", "short")).To(gomega.Equal(2 * time.Second))
 		cancel()
--- a/internal/knowledge/measure_test.go
+++ b/internal/knowledge/measure_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/knowledge"
-	"github.com/plantainrun/plantainrun/internal/platform"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
 
@@ -47,10 +47,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(1, hosts, 1)
 		defer c.close()
-		c.publish(t, platform.KeyHosts, fleetList(c, 0))
-		c.publish(t, platform.KeyTargets, someTargets)
+		c.publish(t, confservice.KeyHosts, fleetList(c, 0))
+		c.publish(t, confservice.KeyTargets, someTargets)
 		for _, p := range partners {
-			c.publish(t, platform.RulesKey(p), rulesFile(p, 1))
+			c.publish(t, confservice.RulesKey(p), rulesFile(p, 1))
 		}
 		for _, h := range c.hosts {
 			c.start(h, knowledge.Config{})
@@ -78,7 +78,7 @@
 		const changes, apart = 8, 5 * time.Second
 		c.service.ResetStats()
 		for i := range changes {
-			c.publish(t, platform.RulesKey(partners[i%2]), rulesFile(partners[i%2], i+2))
+			c.publish(t, confservice.RulesKey(partners[i%2]), rulesFile(partners[i%2], i+2))
 			time.Sleep(apart)
 		}
 		extra := float64(c.service.Stats().Calls()) - r.idlePerSecond*changes*apart.Seconds()
@@ -88,11 +88,11 @@
 		for i := range burstChanges {
 			switch i % 4 {
 			case 0, 1:
-				c.publish(t, platform.RulesKey(partners[i%4]), rulesFile(partners[i%4], i+50))
+				c.publish(t, confservice.RulesKey(partners[i%4]), rulesFile(partners[i%4], i+50))
 			case 2:
-				c.publish(t, platform.KeyTargets, someTargets)
+				c.publish(t, confservice.KeyTargets, someTargets)
 			default:
-				c.publish(t, platform.KeyHosts, c.list())
+				c.publish(t, confservice.KeyHosts, c.list())
 			}
 			time.Sleep(time.Second / burstChanges)
 		}
@@ -206,9 +206,9 @@
 				change++
 				switch change % 3 {
 				case 0:
-					c.publish(t, platform.KeyHosts, fleetList(c, change))
+					c.publish(t, confservice.KeyHosts, fleetList(c, change))
 				default:
-					c.publish(t, platform.RulesKey(partners[change%2]), organisationsFile(partners[change%2], change))
+					c.publish(t, confservice.RulesKey(partners[change%2]), organisationsFile(partners[change%2], change))
 				}
 			})
 			used = processorTime() - used
--- a/internal/knowledge/meshlinks_test.go
+++ b/internal/knowledge/meshlinks_test.go
@@ -9,9 +9,9 @@
 	"github.com/onsi/gomega"
 
 	"github.com/plantainrun/plantainrun/coord/identity"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/knowledge"
 	"github.com/plantainrun/plantainrun/internal/mesh"
-	"github.com/plantainrun/plantainrun/internal/platform"
 	standin "github.com/plantainrun/plantainrun/internal/standin/platform"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
@@ -39,9 +39,9 @@
 		_, err := up.Publish(key, body)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 	}
-	publish(platform.KeyHosts, marshal(topology.HostList{Hosts: hosts}))
-	publish(platform.KeyTargets, someTargets)
-	publish(platform.RulesKey("kushiro"), rulesFile("kushiro", 1))
+	publish(confservice.KeyHosts, marshal(topology.HostList{Hosts: hosts}))
+	publish(confservice.KeyTargets, someTargets)
+	publish(confservice.RulesKey("kushiro"), rulesFile("kushiro", 1))
 
 	known := make([]*knowledge.Knowledge, 0, 2)
 	for i, source := range []knowledge.Source{up, down} {
@@ -65,7 +65,7 @@
 		return func() time.Duration { return known[i].Snapshot().Rules.LimitFor("kushiro", "short") }
 	}
 	g.Eventually(limit(1), time.Minute, 10*time.Millisecond).Should(gomega.Equal(time.Second))
-	publish(platform.RulesKey("kushiro"), rulesFile("kushiro", 2))
+	publish(confservice.RulesKey("kushiro"), rulesFile("kushiro", 2))
 	g.Eventually(limit(1), time.Minute, 10*time.Millisecond).Should(gomega.Equal(2 * time.Second))
 	g.Eventually(func() bool { return known[0].Ready().Ready && known[1].Ready().Ready }, time.Minute, 10*time.Millisecond).Should(gomega.BeTrue())
 	g.Expect(known[1].Ready().Reason).To(gomega.ContainSubstring("configuration service did not answer"))
--- a/internal/knowledge/pause_test.go
+++ b/internal/knowledge/pause_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/knowledge"
 	"github.com/plantainrun/plantainrun/internal/knowledge/knowledgepb"
-	"github.com/plantainrun/plantainrun/internal/platform"
 	standin "github.com/plantainrun/plantainrun/internal/standin/platform"
 )
 
@@ -31,7 +31,7 @@
 // ago that no plan is published; it also has a key that is unknown here.
 func confirming() *knowledgepb.Digest {
 	return &knowledgepb.Digest{Host: "b", Entries: []*knowledgepb.Entry{
-		{Key: platform.KeyPlan, ConfirmedMs: 1, HeardMs: 1},
+		{Key: confservice.KeyPlan, ConfirmedMs: 1, HeardMs: 1},
 		{Key: "rules/unknown", ConfirmedMs: 1, HeardMs: 1},
 	}}
 }
@@ -51,12 +51,12 @@
 		go func() { done <- k.Run(ctx) }()
 		for range 36 {
 			time.Sleep(10 * time.Minute)
-			g.Expect(k.ConfirmedWithin(platform.KeyPlan, time.Minute)).To(gomega.BeFalse())
+			g.Expect(k.ConfirmedWithin(confservice.KeyPlan, time.Minute)).To(gomega.BeFalse())
 		}
 		_, err = k.HandleExchange(ctx, "b", confirming()) // may have waited as well
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		g.Expect(k.ConfirmedWithin(platform.KeyPlan, time.Minute)).To(gomega.BeFalse())
-		g.Expect(k.ConfirmedWithin(platform.KeyPlan, 3*time.Hour)).To(gomega.BeTrue())
+		g.Expect(k.ConfirmedWithin(confservice.KeyPlan, time.Minute)).To(gomega.BeFalse())
+		g.Expect(k.ConfirmedWithin(confservice.KeyPlan, 3*time.Hour)).To(gomega.BeTrue())
 		cancel()
 		<-done
 	})
--- a/internal/knowledge/read.go
+++ b/internal/knowledge/read.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/plantainrun/plantainrun/coord/dissemination"
-	"github.com/plantainrun/plantainrun/internal/platform"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 )
 
 // Bounds of the wait after a failed call to the configuration service.
@@ -55,9 +55,9 @@
 // watch follows one key until ctx ends. Each key has its own watch, for keys
 // that lag become visible after later revisions of other keys.
 func (k *Knowledge) watch(ctx context.Context, key string) {
-	backoff := platform.Backoff{First: firstBackoff, Max: maxBackoff}
+	backoff := confservice.Backoff{First: firstBackoff, Max: maxBackoff}
 	for ctx.Err() == nil {
-		q := platform.Question{After: k.store.Seen(key), Keys: []string{key}, Wait: k.cfg.WatchWait}
+		q := confservice.Question{After: k.store.Seen(key), Keys: []string{key}, Wait: k.cfg.WatchWait}
 		asked := time.Now()
 		changes, err := k.cfg.Source.Watch(ctx, q)
 		if err == nil && len(changes) > 0 {
@@ -80,8 +80,8 @@
 func (k *Knowledge) read(ctx context.Context, key string) error {
 	asked := time.Now()
 	v, err := k.cfg.Source.Read(ctx, key)
-	var missing *platform.NotFoundError
-	var older *platform.OlderError
+	var missing *confservice.NotFoundError
+	var older *confservice.OlderError
 	switch {
 	case errors.As(err, &missing):
 		k.answered()
@@ -97,7 +97,7 @@
 	result := k.offer(dissemination.NewValue(key, v.Revision, v.Body), sourcePlatform)
 	if result.Outcome == dissemination.Older {
 		k.counters.platformOlder.Add(1)
-		return &platform.OlderError{Key: key, Revision: v.Revision, Seen: seen}
+		return &confservice.OlderError{Key: key, Revision: v.Revision, Seen: seen}
 	}
 	k.confirmed(key, asked)
 	return nil
@@ -117,7 +117,7 @@
 // check asks once which keys changed and reads these.
 func (k *Knowledge) check(ctx context.Context) error {
 	keys := k.store.Keys()
-	q := platform.Question{After: k.store.Seen(keys[0]), Keys: keys}
+	q := confservice.Question{After: k.store.Seen(keys[0]), Keys: keys}
 	for _, key := range keys {
 		q.After = min(q.After, k.store.Seen(key))
 	}
--- a/internal/knowledge/refusals.go
+++ b/internal/knowledge/refusals.go
@@ -8,8 +8,8 @@
 
 	"github.com/plantainrun/plantainrun/coord/dissemination"
 	"github.com/plantainrun/plantainrun/internal/audit"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/knowledge/knowledgepb"
-	"github.com/plantainrun/plantainrun/internal/platform"
 )
 
 // Hosts pass on what they refused, so that every host's audit trail has it.
@@ -58,7 +58,7 @@
 	}
 	k.refusals[r.GetKey()] = r
 	k.unsent = append(k.unsent, r)
-	partner, _ := platform.RulesPartner(r.GetKey())
+	partner, _ := confservice.RulesPartner(r.GetKey())
 	inForce, _ := k.store.Get(r.GetKey())
 	entry := audit.Entry{
 		Time: time.Now(), Subject: r.GetKey(), Partner: partner, From: inForce.Revision, To: r.GetRevision(),
--- a/internal/knowledge/spread_test.go
+++ b/internal/knowledge/spread_test.go
@@ -10,8 +10,8 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/knowledge"
-	"github.com/plantainrun/plantainrun/internal/platform"
 	standin "github.com/plantainrun/plantainrun/internal/standin/platform"
 )
 
@@ -66,8 +66,8 @@
 }
 
 func (m *spreadModel) run(steps []uint64) string {
-	m.publish(m.t, platform.KeyHosts, m.list())
-	m.publish(m.t, platform.KeyTargets, someTargets)
+	m.publish(m.t, confservice.KeyHosts, m.list())
+	m.publish(m.t, confservice.KeyTargets, someTargets)
 	m.publishGood(0)
 	m.publishGood(1)
 	for _, h := range m.hosts {
@@ -101,7 +101,7 @@
 		m.publishGood(1)
 		return "both partners publish"
 	case 2:
-		key := platform.RulesKey(partners[a%2])
+		key := confservice.RulesKey(partners[a%2])
 		m.publish(m.t, key, []byte("partner "+partners[a%2]+"\nobjective slowdown\n"))
 		m.published[key] = 0 // the service holds the newest value only
 		return "publish a bad file"
@@ -157,7 +157,7 @@
 
 func (m *spreadModel) publishGood(partner int) {
 	m.limit++
-	key := platform.RulesKey(partners[partner%2])
+	key := confservice.RulesKey(partners[partner%2])
 	revision := m.publish(m.t, key, rulesFile(partners[partner%2], m.limit))
 	m.bodies[revision], m.published[key] = m.limit, revision
 }
@@ -262,7 +262,7 @@
 	}
 	time.Sleep(inForceWithin)
 	for _, partner := range partners {
-		key := platform.RulesKey(partner)
+		key := confservice.RulesKey(partner)
 		for _, group := range m.components() {
 			want := m.wanted(group, key, before)
 			for _, h := range group {
--- a/internal/knowledge/start.go
+++ b/internal/knowledge/start.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/plantainrun/plantainrun/internal/platform"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
 
@@ -85,7 +85,7 @@
 // askUntilEnough asks the service until it answered, with backoff, and peers
 // until enough of them did.
 func (k *Knowledge) askUntilEnough(ctx context.Context) {
-	backoff := platform.Backoff{First: firstBackoff, Max: maxBackoff}
+	backoff := confservice.Backoff{First: firstBackoff, Max: maxBackoff}
 	checked, next := false, time.Now()
 	for ctx.Err() == nil {
 		if !checked && !time.Now().Before(next) {
@@ -114,7 +114,7 @@
 		}
 	}
 	if k.Snapshot().HostsRevision == 0 {
-		_ = k.read(ctx, platform.KeyHosts) // read again by check or a watch
+		_ = k.read(ctx, confservice.KeyHosts) // read again by check or a watch
 	}
 }
 
@@ -227,7 +227,7 @@
 		names = append(names, "any partner's rules")
 	}
 	if s.TargetsRevision == 0 {
-		names = append(names, platform.KeyTargets)
+		names = append(names, confservice.KeyTargets)
 	}
 	return names
 }
--- a/internal/server/gauges.go
+++ b/internal/server/gauges.go
@@ -1,9 +1,9 @@
 package server
 
-import "github.com/plantainrun/plantainrun/internal/platform"
+import "github.com/plantainrun/plantainrun/internal/confservice"
 
 // registerCounters publishes the counters that other parts keep.
-func (s *Server) registerCounters(client *platform.Client) {
+func (s *Server) registerCounters(client *confservice.Client) {
 	m := s.metrics
 	m.Counter("control_bytes_out_total", "Bytes sent to peers for other purposes than forwarded requests.",
 		func() float64 { return float64(s.mesh.Stats().ControlBytesOut()) })
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -11,10 +11,10 @@
 	"github.com/plantainrun/plantainrun/coord/pause"
 	"github.com/plantainrun/plantainrun/coord/share"
 	"github.com/plantainrun/plantainrun/coord/suspect"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/gossip"
 	"github.com/plantainrun/plantainrun/internal/hints"
 	"github.com/plantainrun/plantainrun/internal/orders"
-	"github.com/plantainrun/plantainrun/internal/platform"
 	"github.com/plantainrun/plantainrun/internal/schedule"
 	"github.com/plantainrun/plantainrun/internal/sweep"
 	"github.com/plantainrun/plantainrun/internal/topology"
@@ -92,7 +92,7 @@
 		Plan: snap.Plan, PlanRevision: snap.PlanRevision,
 	}
 	for _, age := range s.knowledge.Ages() {
-		if age.Key == platform.KeyPlan && age.Confirmed >= 0 && age.Confirmed < confirmedFor {
+		if age.Key == confservice.KeyPlan && age.Confirmed >= 0 && age.Confirmed < confirmedFor {
 			known.PlanConfirmed = s.clk.Now().Add(-age.Confirmed)
 		}
 	}
--- a/internal/server/wire.go
+++ b/internal/server/wire.go
@@ -16,6 +16,7 @@
 	"github.com/plantainrun/plantainrun/internal/caller"
 	"github.com/plantainrun/plantainrun/internal/completion"
 	"github.com/plantainrun/plantainrun/internal/config"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 	"github.com/plantainrun/plantainrun/internal/cost"
 	"github.com/plantainrun/plantainrun/internal/engine"
 	"github.com/plantainrun/plantainrun/internal/forward"
@@ -26,7 +27,6 @@
 	"github.com/plantainrun/plantainrun/internal/metrics"
 	"github.com/plantainrun/plantainrun/internal/once"
 	"github.com/plantainrun/plantainrun/internal/operator"
-	"github.com/plantainrun/plantainrun/internal/platform"
 	"github.com/plantainrun/plantainrun/internal/schedule"
 	"github.com/plantainrun/plantainrun/internal/service"
 	"github.com/plantainrun/plantainrun/internal/topology"
@@ -71,7 +71,7 @@
 	if err := enoughReads(s.settings.Platform); err != nil {
 		return err
 	}
-	client := platform.NewClient(platform.Config{
+	client := confservice.NewClient(confservice.Config{
 		Address:        "http://" + s.addrs.Platform.String(),
 		ReadsPerSecond: s.settings.Platform.ReadsPerSecond,
 		ReadBurst:      platformBurst,
--- a/internal/standin/platform/http.go
+++ b/internal/standin/platform/http.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/plantainrun/plantainrun/internal/platform"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 )
 
 // maxWait bounds how long a watch may wait.
@@ -53,26 +53,26 @@
 	case len(changes) == 0:
 		w.WriteHeader(http.StatusNoContent)
 	default:
-		writeJSON(w, platform.Changes{Changes: changes})
+		writeJSON(w, confservice.Changes{Changes: changes})
 	}
 }
 
-func questionOf(r *http.Request) (platform.Question, error) {
+func questionOf(r *http.Request) (confservice.Question, error) {
 	query := r.URL.Query()
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 	if err != nil {
-		return platform.Question{}, err
+		return confservice.Question{}, err
 	}
 	wait, err := time.ParseDuration(query.Get("wait"))
 	if err != nil {
-		return platform.Question{}, err
+		return confservice.Question{}, err
 	}
 	keys := strings.Split(query.Get("keys"), ",")
-	return platform.Question{After: after, Keys: keys, Wait: min(wait, maxWait)}, nil
+	return confservice.Question{After: after, Keys: keys, Wait: min(wait, maxWait)}, nil
 }
 
 func (s *Service) servePublish(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, confservice.MaxValueBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
@@ -100,7 +100,7 @@
 }
 
 func writeError(w http.ResponseWriter, err error) {
-	var missing *platform.NotFoundError
+	var missing *confservice.NotFoundError
 	if errors.As(err, &missing) {
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/plantainrun/plantainrun/internal/platform"
+	"github.com/plantainrun/plantainrun/internal/confservice"
 )
 
 // historyLength is how many revisions of a key are kept for stale answers.
@@ -48,7 +48,7 @@
 
 // version is one published revision of a key.
 type version struct {
-	value platform.Value
+	value confservice.Value
 	at    time.Time
 }
 
@@ -74,11 +74,11 @@
 func (s *Service) Publish(key string, body []byte) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(body) > platform.MaxValueBytes && !s.faults.NoLimit {
-		return 0, fmt.Errorf("the body of %q has %d bytes; the limit is %d", key, len(body), platform.MaxValueBytes)
+	if len(body) > confservice.MaxValueBytes && !s.faults.NoLimit {
+		return 0, fmt.Errorf("the body of %q has %d bytes; the limit is %d", key, len(body), confservice.MaxValueBytes)
 	}
 	s.revision++
-	value := platform.Value{Key: key, Revision: s.revision, Body: slices.Clone(body)}
+	value := confservice.Value{Key: key, Revision: s.revision, Body: slices.Clone(body)}
 	s.history[key] = append(s.history[key], version{value: value, at: time.Now()})
 	if len(s.history[key]) > historyLength {
 		s.history[key] = s.history[key][1:]
@@ -127,26 +127,26 @@
 }
 
 // Read answers a read.
-func (s *Service) Read(ctx context.Context, key string) (platform.Value, error) {
+func (s *Service) Read(ctx context.Context, key string) (confservice.Value, error) {
 	s.mu.Lock()
 	s.count(&s.stats.Reads)
 	faults := s.faults
 	v, ok := s.newest(key)
 	s.mu.Unlock()
 	if err := sleep(ctx, faults.Delay); err != nil {
-		return platform.Value{}, err
+		return confservice.Value{}, err
 	}
 	switch {
 	case faults.Down:
-		return platform.Value{}, &platform.UnavailableError{Reason: ErrDown.Error(), Cause: ErrDown}
+		return confservice.Value{}, &confservice.UnavailableError{Reason: ErrDown.Error(), Cause: ErrDown}
 	case !ok:
-		return platform.Value{}, &platform.NotFoundError{Key: key}
+		return confservice.Value{}, &confservice.NotFoundError{Key: key}
 	}
 	return v, nil
 }
 
 // Watch answers a watch.
-func (s *Service) Watch(ctx context.Context, q platform.Question) ([]platform.Change, error) {
+func (s *Service) Watch(ctx context.Context, q confservice.Question) ([]confservice.Change, error) {
 	s.mu.Lock()
 	s.count(&s.stats.Watches)
 	delay := s.faults.Delay
@@ -171,25 +171,25 @@
 	}
 }
 
-func (s *Service) changes(q platform.Question) ([]platform.Change, <-chan struct{}, error) {
+func (s *Service) changes(q confservice.Question) ([]confservice.Change, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down {
-		return nil, nil, &platform.UnavailableError{Reason: ErrDown.Error(), Cause: ErrDown}
+		return nil, nil, &confservice.UnavailableError{Reason: ErrDown.Error(), Cause: ErrDown}
 	}
-	var changes []platform.Change
+	var changes []confservice.Change
 	for _, key := range q.Keys {
 		if v, ok := s.newest(key); ok && v.Revision > q.After {
-			changes = append(changes, platform.Change{Key: key, Revision: v.Revision})
+			changes = append(changes, confservice.Change{Key: key, Revision: v.Revision})
 		}
 	}
 	return changes, s.changed, nil
 }
 
 // newest returns the value that the service answers with now.
-func (s *Service) newest(key string) (platform.Value, bool) {
+func (s *Service) newest(key string) (confservice.Value, bool) {
 	before := time.Now()
-	if key == platform.KeyHosts || key == platform.KeyTargets {
+	if key == confservice.KeyHosts || key == confservice.KeyTargets {
 		before = before.Add(-s.faults.ListLag)
 	}
 	versions := s.history[key]
@@ -200,7 +200,7 @@
 			return v.value, true
 		}
 	}
-	return platform.Value{}, false
+	return confservice.Value{}, false
 }
 
 func (s *Service) count(counter *uint64) {
