Serve the users' platform: follow the store, place, relay and drain

Cause: the product spoke only its own protocol, so nothing could be built or played there. New: internal/catalog, follow, placement, relay, edge decide; platform/ translates; the edge command wires.

--- /dev/null
+++ b/cmd/plantainrun/libc.go
@@ -0,0 +1,5 @@
+//go:build cgo
+
+package main
+
+import "C" // links the binary against the C library
--- a/coord/clock/steady.go
+++ b/coord/clock/steady.go
@@ -20,3 +20,6 @@
 func (s *Steady) Now() time.Time {
 	return s.wall.Add(s.clk.Now().Sub(s.start))
 }
+
+// processStart anchors SinceBoot where no boot clock can be had.
+var processStart = time.Now()
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -65,6 +65,7 @@
 		return c
 	}
 	add("serve", "Run an entry host.", &serveCommand{streams: streams})
+	add("edge", "Run an entry host on the users' platform.", &edgeCommand{streams: streams})
 	add("demo", "Run a small system in one process and show what it does.", &demoCommand{streams: streams})
 	add("standin", "Run one stand-in of the platform, an engine or a service.", &standinCommand{streams: streams})
 	add("status", "Show the state of a host.", &statusCommand{streams: streams})
--- /dev/null
+++ b/internal/cli/edge.go
@@ -0,0 +1,94 @@
+package cli
+
+import (
+	"net/http"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/edge"
+	"github.com/plantainrun/plantainrun/internal/logging"
+	"github.com/plantainrun/plantainrun/internal/relay"
+	"github.com/plantainrun/plantainrun/platform"
+)
+
+// settingsInterval is how often the settings file is read again without a signal.
+const settingsInterval = 5 * time.Second
+
+type edgeCommand struct {
+	Config  string `long:"config" env:"PLANTAINRUN_CONFIG" description:"path of the platform's settings file"`
+	streams Streams
+}
+
+// Execute runs an entry host on the users' platform until it has drained.
+func (c *edgeCommand) Execute([]string) error {
+	settings, err := platform.ReadSettings(c.Config)
+	if err != nil {
+		return &usageError{err}
+	}
+	log := logging.NewEvents(c.streams.Out)
+	defer func() { _ = log.Sync() }()
+	logging.Route(log)
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	host, err := edge.New(settings, newAdapter(settings, log), log)
+	if err != nil {
+		return err
+	}
+	if err := host.Start(); err != nil {
+		return err
+	}
+	c.supervise(host, settings, signals, log)
+	return nil
+}
+
+func newAdapter(settings edge.Settings, log *zap.Logger) edge.Adapter {
+	return edge.Adapter{
+		Source:    platform.NewStore(settings.StoreAddr, log),
+		Transport: platform.NewTargets(log),
+		Callers: func(r *relay.Relay, draining func() bool) http.Handler {
+			return platform.NewIngress(r, draining, log)
+		},
+		ReadyPath: platform.ReadyPath,
+		Ready:     platform.ReadyHandler,
+	}
+}
+
+// supervise reacts to signals and to changes of the settings until the host
+// has drained.
+func (c *edgeCommand) supervise(host *edge.Host, settings edge.Settings, signals <-chan os.Signal, log *zap.Logger) {
+	reread := time.NewTicker(settingsInterval)
+	defer reread.Stop()
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				settings = c.reload(host, settings, log)
+				continue
+			}
+			host.Drain("signal " + sig.String())
+		case <-reread.C:
+			settings = c.reload(host, settings, log)
+		case <-host.Done():
+			return
+		}
+	}
+}
+
+// reload puts changed settings in force. Unreadable ones keep the old.
+func (c *edgeCommand) reload(host *edge.Host, old edge.Settings, log *zap.Logger) edge.Settings {
+	settings, err := platform.ReadSettings(c.Config)
+	if err != nil {
+		log.Warn("settings kept", zap.Error(err))
+		return old
+	}
+	if reflect.DeepEqual(settings, old) {
+		return old
+	}
+	host.Reload(settings)
+	return settings
+}
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,81 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/plantainrun/plantainrun/internal/follow"
+	"github.com/plantainrun/plantainrun/internal/relay"
+)
+
+const namespace = "plantainrun_edge"
+
+// secondsBuckets covers 10 ms to one minute.
+var secondsBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.6, 1, 1.5, 2.5, 5, 10, 20, 60}
+
+// metrics are the counters of one entry host. Labels are bounded by the
+// configuration: services, outcomes and reasons, never ids of requests. It
+// implements relay.Observer and is safe for concurrent use.
+type metrics struct {
+	registry   *prometheus.Registry
+	refusals   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	firstEvent prometheus.Histogram
+	duration   prometheus.Histogram
+	active     prometheus.Gauge
+}
+
+func newMetrics(f *follow.Follower) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "refusals_total", Help: "Requests answered by the host itself.",
+		}, []string{"reason"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "attempts_total", Help: "Attempts at targets.",
+		}, []string{"service", "outcome"}),
+		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "first_event_seconds", Help: "Time from arrival to a stream's first event.", Buckets: secondsBuckets,
+		}),
+		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds", Help: "Time from arrival to the final answer.", Buckets: secondsBuckets,
+		}),
+		active: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "requests_in_progress", Help: "Requests in progress.",
+		}),
+	}
+	m.registry.MustRegister(m.refusals, m.attempts, m.firstEvent, m.duration, m.active, collectors.NewGoCollector())
+	m.function("view_age_seconds", "Time since the view of the store was confirmed.", func() float64 { return f.Age().Seconds() })
+	m.function("store_calls", "Calls to the store.", func() float64 { calls, _ := f.Stats(); return float64(calls) })
+	m.function("store_failures", "Calls to the store without a usable answer.", func() float64 { _, failures := f.Stats(); return float64(failures) })
+	return m
+}
+
+func (m *metrics) function(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Refused counts an answer of the host's own.
+func (m *metrics) Refused(reason relay.Reason) { m.refusals.WithLabelValues(string(reason)).Inc() }
+
+// Attempted counts the end of an attempt.
+func (m *metrics) Attempted(service, outcome string) {
+	m.attempts.WithLabelValues(service, outcome).Inc()
+}
+
+// FirstEvent records the time to a stream's first event.
+func (m *metrics) FirstEvent(_ string, took time.Duration) { m.firstEvent.Observe(took.Seconds()) }
+
+// Finished records the time to the final answer.
+func (m *metrics) Finished(_ string, took time.Duration) { m.duration.Observe(took.Seconds()) }
+
+// Active counts requests in progress.
+func (m *metrics) Active(delta int) { m.active.Add(float64(delta)) }
--- /dev/null
+++ b/internal/follow/apply.go
@@ -0,0 +1,150 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+)
+
+// apply takes an answer over that was asked for at sent, since boot. A
+// complete answer also removes what it does not name.
+func (f *Follower) apply(listing Listing, sent time.Duration, complete bool) {
+	now := time.Now()
+	f.mu.Lock()
+	changed := f.config == nil
+	named := make(map[string]struct{}, len(listing.Changes))
+	for _, c := range listing.Changes {
+		named[c.TargetID] = struct{}{}
+		changed = f.applyChange(c, now) || changed
+	}
+	if complete {
+		changed = f.removeUnnamed(named, now) || changed
+	}
+	f.revision = max(f.revision, listing.Revision)
+	if complete {
+		f.revision = listing.Revision
+	}
+	back := f.away
+	f.away = false
+	f.confirmed.Store(int64(sent))
+	f.publishLocked(changed)
+	f.mu.Unlock()
+	if back {
+		f.log.Info("store regained", zap.Int64("revision", int64(listing.Revision)))
+	}
+}
+
+func (f *Follower) applyChange(c Change, now time.Time) bool {
+	switch {
+	case c.Config != nil:
+		return f.adopt(c.Config, "store")
+	case c.TargetID == "":
+		return false
+	case c.Target == nil:
+		return f.remove(c.TargetID, c.Revision, now)
+	default:
+		return f.register(c, now)
+	}
+}
+
+// adopt puts a newer configuration in force.
+func (f *Follower) adopt(config *catalog.Config, from string) bool {
+	if f.config != nil && config.Version <= f.config.Version {
+		return false
+	}
+	f.config = config
+	f.log.Info("configuration in force", zap.Int64("version", config.Version), zap.Int("routes", config.Routes()), zap.String("from", from))
+	return true
+}
+
+func (f *Follower) register(c Change, now time.Time) bool {
+	old, known := f.entries[c.TargetID]
+	if known && c.Revision < old.revision {
+		return false
+	}
+	f.entries[c.TargetID] = &entry{target: *c.Target, revision: c.Revision}
+	if known && old.target == *c.Target && old.doubtedUntil.IsZero() {
+		return false
+	}
+	f.log.Info("target registered",
+		zap.String("target", c.TargetID), zap.Int64("born", c.Target.Born), zap.String("service", c.Target.Service),
+		zap.Bool("leaving", c.Target.Leaving), zap.Int64("revision", int64(c.Revision)))
+	return true
+}
+
+// remove drops a target, or doubts it when the store has just been away.
+func (f *Follower) remove(id string, revision Revision, now time.Time) bool {
+	e, known := f.entries[id]
+	if !known || revision < e.revision || !e.doubtedUntil.IsZero() {
+		return false
+	}
+	e.revision = revision
+	doubted := !f.failedAt.IsZero() && now.Sub(f.failedAt) < unsettled && !e.target.Leaving
+	f.log.Info("target no longer registered",
+		zap.String("target", id), zap.Bool("doubted", doubted), zap.Int64("revision", int64(revision)))
+	if doubted {
+		e.doubtedUntil = now.Add(doubtFor)
+		return false
+	}
+	delete(f.entries, id)
+	return true
+}
+
+func (f *Follower) removeUnnamed(named map[string]struct{}, now time.Time) bool {
+	changed := false
+	for id, e := range f.entries {
+		if _, ok := named[id]; !ok {
+			changed = f.remove(id, e.revision, now) || changed
+		}
+	}
+	return changed
+}
+
+// publishLocked makes the current state visible. The caller holds mu.
+func (f *Follower) publishLocked(changed bool) {
+	if !changed {
+		return
+	}
+	view := newView(f.config, f.revision, f.entries)
+	f.view.Store(view)
+	if f.onChanged != nil {
+		f.onChanged(view)
+	}
+}
+
+// reviewDoubts drops doubted targets that did not come back in time.
+func (f *Follower) reviewDoubts(ctx context.Context) {
+	ticker := time.NewTicker(doubtInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f.dropDoubted(now)
+		}
+	}
+}
+
+// dropDoubted removes what is doubted for too long. While the store is away
+// nothing is dropped: a target can only come back through it.
+func (f *Follower) dropDoubted(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		return
+	}
+	changed := false
+	for id, e := range f.entries {
+		if e.doubtedUntil.IsZero() || now.Before(e.doubtedUntil) {
+			continue
+		}
+		delete(f.entries, id)
+		changed = true
+		f.log.Info("target is gone", zap.String("target", id))
+	}
+	f.publishLocked(changed)
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,170 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/coord/clock"
+	"github.com/plantainrun/plantainrun/internal/catalog"
+)
+
+const (
+	// watchWait is how long one watch may wait. A watch that returns confirms
+	// the view as of when it was sent, so two of them must fit in the time
+	// after which keys are no longer trusted.
+	watchWait = 1500 * time.Millisecond
+	// answerTimeout is the time for an answer beyond the wait of a watch.
+	answerTimeout = 1200 * time.Millisecond
+	listTimeout   = 4 * time.Second
+
+	firstBackoff = 40 * time.Millisecond
+	maxBackoff   = 400 * time.Millisecond
+
+	// unsettled is how long after a failed call removals are doubted: targets
+	// whose registration lapsed while the store was away come back.
+	unsettled = 3 * time.Second
+	// doubtFor is how long a doubted target is kept.
+	doubtFor = 2200 * time.Millisecond
+	// doubtInterval is how often doubted targets are reviewed.
+	doubtInterval = 200 * time.Millisecond
+)
+
+// entry is what is known of one registered target.
+type entry struct {
+	target   catalog.Target
+	revision Revision
+	// doubtedUntil is when a target that is no longer registered is dropped;
+	// zero while it is registered.
+	doubtedUntil time.Time
+}
+
+// Follower keeps a View current. It is safe for concurrent use.
+type Follower struct {
+	source Source
+	log    *zap.Logger
+	since  func() time.Duration // time since boot
+
+	view      atomic.Pointer[View]
+	confirmed atomic.Int64 // time since boot in nanoseconds, 0: never
+	calls     atomic.Int64
+	failures  atomic.Int64
+
+	mu        sync.Mutex
+	entries   map[string]*entry
+	config    *catalog.Config
+	revision  Revision
+	failedAt  time.Time // of the newest failed call
+	away      bool      // the last call failed
+	onChanged func(*View)
+}
+
+// New returns a Follower of source. Run starts it.
+func New(source Source, log *zap.Logger) *Follower {
+	f := &Follower{source: source, log: log, since: clock.SinceBoot, entries: make(map[string]*entry)}
+	f.view.Store(newView(nil, 0, nil))
+	return f
+}
+
+// OnChanged sets a function that is called with each new view. Set it before Run.
+func (f *Follower) OnChanged(fn func(*View)) { f.onChanged = fn }
+
+// View returns the newest view.
+func (f *Follower) View() *View { return f.view.Load() }
+
+// Age is how long ago the view was certainly current, counting time in which
+// the machine was suspended. It is the longest duration before the first answer.
+func (f *Follower) Age() time.Duration {
+	at := f.confirmed.Load()
+	if at == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return f.since() - time.Duration(at)
+}
+
+// Stats returns the number of calls to the store and of those that failed.
+func (f *Follower) Stats() (calls, failures int64) { return f.calls.Load(), f.failures.Load() }
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	go f.reviewDoubts(ctx)
+	for ctx.Err() == nil {
+		if f.list(ctx) {
+			f.watch(ctx)
+		}
+	}
+}
+
+// list reads everything until it succeeds.
+func (f *Follower) list(ctx context.Context) bool {
+	for wait := firstBackoff; ctx.Err() == nil; wait = min(2*wait, maxBackoff) {
+		sent := f.since()
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		listing, err := f.source.List(callCtx)
+		cancel()
+		f.calls.Add(1)
+		if err == nil {
+			f.apply(listing, sent, true)
+			return true
+		}
+		f.failed("list", err)
+		pause(ctx, wait)
+	}
+	return false
+}
+
+// watch follows changes until the history is gone or ctx ends.
+func (f *Follower) watch(ctx context.Context) {
+	wait := firstBackoff
+	for ctx.Err() == nil {
+		sent := f.since()
+		callCtx, cancel := context.WithTimeout(ctx, watchWait+answerTimeout)
+		listing, err := f.source.Watch(callCtx, f.after(), watchWait)
+		cancel()
+		f.calls.Add(1)
+		switch {
+		case err == nil:
+			f.apply(listing, sent, false)
+			wait = firstBackoff
+		case errors.Is(err, ErrHistoryGone):
+			f.log.Info("store dropped its history, listing everything", zap.Int64("revision", int64(f.after())))
+			return
+		default:
+			f.failed("watch", err)
+			pause(ctx, wait)
+			wait = min(2*wait, maxBackoff)
+		}
+	}
+}
+
+func (f *Follower) after() Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+func (f *Follower) failed(call string, err error) {
+	f.failures.Add(1)
+	f.mu.Lock()
+	first := !f.away
+	f.away = true
+	f.failedAt = time.Now()
+	f.mu.Unlock()
+	if first {
+		f.log.Warn("store lost", zap.String("call", call), zap.Error(err), zap.Duration("view_age", f.Age()))
+	}
+}
+
+// pause waits for about d, so that hosts do not call in step.
+func pause(ctx context.Context, d time.Duration) {
+	jittered := d/2 + rand.N(d)
+	select {
+	case <-ctx.Done():
+	case <-time.After(jittered):
+	}
+}
--- /dev/null
+++ b/internal/follow/view.go
@@ -0,0 +1,46 @@
+package follow
+
+import (
+	"github.com/plantainrun/plantainrun/internal/catalog"
+)
+
+// View is a consistent picture of what is published. It is immutable.
+type View struct {
+	Config    *catalog.Config // nil before the first configuration
+	Revision  Revision
+	byService map[string][]catalog.Target
+	byKey     map[catalog.TargetKey]struct{}
+}
+
+// Targets returns the targets of a service that take new requests.
+func (v *View) Targets(service string) []catalog.Target { return v.byService[service] }
+
+// Usable reports whether this incarnation of a target takes new requests.
+func (v *View) Usable(key catalog.TargetKey) bool {
+	_, ok := v.byKey[key]
+	return ok
+}
+
+// Services calls fn for each service with usable targets.
+func (v *View) Services(fn func(service string, targets []catalog.Target)) {
+	for name, targets := range v.byService {
+		fn(name, targets)
+	}
+}
+
+func newView(config *catalog.Config, revision Revision, entries map[string]*entry) *View {
+	v := &View{
+		Config:    config,
+		Revision:  revision,
+		byService: make(map[string][]catalog.Target),
+		byKey:     make(map[catalog.TargetKey]struct{}, len(entries)),
+	}
+	for _, e := range entries {
+		if e.target.Leaving {
+			continue
+		}
+		v.byService[e.target.Service] = append(v.byService[e.target.Service], e.target)
+		v.byKey[e.target.TargetKey] = struct{}{}
+	}
+	return v
+}
--- /dev/null
+++ b/internal/relay/crashes.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+)
+
+const (
+	// crashesBeforeQuarantine is how many targets a request may break before
+	// it is refused.
+	crashesBeforeQuarantine = 3
+	// crashMemory is how long a broken attempt counts.
+	crashMemory = 60 * time.Second
+	// maxCrashRecords bounds the requests that are remembered.
+	maxCrashRecords = 4096
+)
+
+// fingerprint recognises a request that comes again.
+type fingerprint uint64
+
+// fingerprint covers the path, the caller and the body.
+func (j *job) fingerprint() fingerprint {
+	d := xxhash.New()
+	for _, part := range []string{j.req.Host, j.req.URI, j.req.Key} {
+		_, _ = d.WriteString(part) // hashing cannot fail
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(j.req.Body)
+	return fingerprint(d.Sum64())
+}
+
+// crashes remembers which requests broke off at which targets, so that one
+// that crashes its targets is not sent to all of them. It is safe for
+// concurrent use.
+type crashes struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	records map[fingerprint]*crashRecord
+}
+
+type crashRecord struct {
+	targets map[catalog.TargetKey]struct{}
+	at      time.Time // of the newest crash
+}
+
+func newCrashes(now func() time.Time) *crashes {
+	return &crashes{now: now, records: make(map[fingerprint]*crashRecord)}
+}
+
+// note records that an attempt at a target broke off.
+func (c *crashes) note(fp fingerprint, target catalog.TargetKey) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.records[fp]
+	if r == nil {
+		c.makeRoom(now)
+		r = &crashRecord{targets: make(map[catalog.TargetKey]struct{})}
+		c.records[fp] = r
+	}
+	r.targets[target] = struct{}{}
+	r.at = now
+}
+
+// makeRoom drops what is too old, and everything if that is not enough.
+func (c *crashes) makeRoom(now time.Time) {
+	if len(c.records) < maxCrashRecords {
+		return
+	}
+	for fp, r := range c.records {
+		if now.Sub(r.at) > crashMemory {
+			delete(c.records, fp)
+		}
+	}
+	if len(c.records) >= maxCrashRecords {
+		clear(c.records)
+	}
+}
+
+// quarantined reports whether a request has broken too many targets.
+func (c *crashes) quarantined(fp fingerprint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.records[fp]
+	if r == nil || c.now().Sub(r.at) > crashMemory {
+		return false
+	}
+	return len(r.targets) >= crashesBeforeQuarantine
+}
--- /dev/null
+++ b/internal/relay/request.go
@@ -0,0 +1,113 @@
+// Package relay takes one request of a caller from its arrival to its final
+// answer: it finds the route and the organisation, chooses targets, makes
+// attempts within the budgets, and hands on the answer or the events of a
+// stream. It speaks no protocol itself; Transport and Reply are implemented by
+// the adapter of a deployment.
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+)
+
+// Request is a caller's request, read in full.
+type Request struct {
+	ID      string // of this attempt of the caller
+	Method  string
+	URI     string // path and query as sent
+	Path    string // decoded, selects the route
+	Host    string // virtual host, selects the route
+	Header  http.Header
+	Body    []byte
+	Arrived time.Time
+	// Limit is how long the caller waits from Arrived on; 0 if it did not say.
+	Limit time.Duration
+	Key   string // credential, empty if none was sent
+
+	PromptTokens int
+	OutputLimit  int // most output tokens
+	OutputHint   int // expected output tokens, 0 if not given
+	LastEvent    string
+}
+
+// Call is one attempt at a target.
+type Call struct {
+	Request      *Request
+	Target       catalog.Target
+	Organisation string // of the caller's key, empty on public routes
+	Left         time.Duration
+	// LastEvent is the id of the last event that the caller has, empty for none.
+	LastEvent string
+	Helpers   []Helper
+}
+
+// Helper is an engine that reads a part of the prompt.
+type Helper struct {
+	Target      catalog.Target
+	Reservation string // its memory, empty for none
+}
+
+// Answer is what a target answered. The caller of Send closes Body.
+type Answer struct {
+	Status int
+	Header http.Header // end to end, to be handed on
+	// Authentic means that the answer carries the target's signature.
+	Authentic bool
+	// NotRun means the target states that it did not run the request.
+	NotRun bool
+	// Misdirected means that another process holds the target's address.
+	Misdirected bool
+	// Leaving means that the target is about to end.
+	Leaving bool
+	Stream  bool // the body is a stream of events
+	// FaultAt is the address of the engine at fault, empty if not stated.
+	FaultAt string
+	Body    io.ReadCloser
+}
+
+// SendError is an attempt without a usable answer.
+type SendError struct {
+	// Sent means that the request may have reached the target.
+	Sent  bool
+	Cause error
+}
+
+// Error names what happened and whether the request may be sent again.
+func (e *SendError) Error() string {
+	if e.Sent {
+		return "no answer, the request may have run: " + e.Cause.Error()
+	}
+	return "not sent, try another target: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Cause }
+
+// Transport reaches targets.
+type Transport interface {
+	// Send makes one attempt. The error is a *SendError.
+	Send(ctx context.Context, call Call) (*Answer, error)
+	// Reserve sets engine memory aside, or renews it, for the given time from
+	// its arrival. The error is ErrNoMemory if there is none.
+	Reserve(ctx context.Context, target catalog.Target, id string, tokens int, hold time.Duration) error
+	// Release ends a reservation.
+	Release(ctx context.Context, target catalog.Target, id string) error
+}
+
+// Reply is the way back to the caller. Its methods are called by one goroutine.
+type Reply interface {
+	// Refuse sends a final answer of the host's own.
+	Refuse(Refusal)
+	// Answer sends a whole answer of a target.
+	Answer(status int, header http.Header, body []byte)
+	// Begin starts an answer whose body follows in pieces.
+	Begin(status int, header http.Header)
+	// Piece sends a part of the body at once.
+	Piece(p []byte) error
+	// Abort breaks the connection, so that nobody takes the answer for whole.
+	Abort()
+}
