Place prompts by predicted lateness, of themselves and of the streams they disturb

Cause: the host with the least work says nothing about what a long read does to the pauses of the streams beside it. Now each number of engines is priced by its own lateness and the lateness it causes.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -198,5 +198,5 @@
 // forgetTargets drops what is kept of targets that are gone.
 func (h *Host) forgetTargets(view *follow.View) {
 	h.adapter.Transport.Retain(view.Usable)
-	view.Services(func(service string, _ []catalog.Target) { h.board.Retain(service, view.Usable) })
+	h.board.Retain(view.Usable)
 }
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -1,36 +1,42 @@
 package placement
 
 import (
-	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
 )
 
-// ErrNoTarget means that no registered target is left to try.
-var ErrNoTarget = errors.New("no usable target: wait until one registers or comes back")
-
 // Board keeps the load of all targets, a shard for each service. It is safe
 // for concurrent use.
 type Board struct {
-	now func() time.Time
+	now    func() time.Time
+	events Events
+	lastID atomic.Uint64
 
 	mu     sync.RWMutex
 	shards map[string]*shard
 }
 
+// shard is one service's targets and jobs.
 type shard struct {
-	mu    sync.Mutex
-	loads map[catalog.TargetKey]*load
+	mu     sync.Mutex
+	loads  map[catalog.TargetKey]*load
+	local  map[JobID]*tracked
+	remote map[string]map[JobID]*tracked // by peer
+	rate   arrivalRate
 }
 
 // NewBoard returns an empty board that reads the time from now.
 func NewBoard(now func() time.Time) *Board {
-	return &Board{now: now, shards: make(map[string]*shard)}
+	return &Board{now: now, events: noEvents{}, shards: make(map[string]*shard)}
 }
 
+// Notify sets who is told of this host's jobs. Call it before Place.
+func (b *Board) Notify(e Events) { b.events = e }
+
 func (b *Board) shard(service string) *shard {
 	b.mu.RLock()
 	s := b.shards[service]
@@ -41,12 +47,27 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s = b.shards[service]; s == nil {
-		s = &shard{loads: make(map[catalog.TargetKey]*load)}
+		s = &shard{
+			loads:  make(map[catalog.TargetKey]*load),
+			local:  make(map[JobID]*tracked),
+			remote: make(map[string]map[JobID]*tracked),
+		}
 		b.shards[service] = s
 	}
 	return s
 }
 
+// all returns the shards of all services.
+func (b *Board) all() []*shard {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	out := make([]*shard, 0, len(b.shards))
+	for _, s := range b.shards {
+		out = append(out, s)
+	}
+	return out
+}
+
 // Placement is a choice of targets, counted on the board until End.
 type Placement struct {
 	Primary catalog.Target
@@ -56,18 +77,10 @@
 	// Wait is the predicted time to the first event.
 	Wait time.Duration
 
-	board   *Board
-	shard   *shard
-	charges []charge
-	reading bool
-	ended   bool
-}
-
-// charge is what a placement added to one target.
-type charge struct {
-	key    catalog.TargetKey
-	tokens int
-	writes bool // takes part in writing, beside reading
+	board *Board
+	shard *shard
+	job   *tracked
+	ended bool
 }
 
 // Place chooses among targets and counts the request there. It returns
@@ -81,21 +94,33 @@
 	if len(candidates) == 0 {
 		return nil, ErrNoTarget
 	}
+	p := &Placement{board: b, shard: s}
+	var shares []Share
 	if need.Engine == nil {
-		return s.placePlain(b, candidates, now), nil
+		shares = p.choosePlain(candidates, now)
+	} else {
+		shares = p.choosePrompt(&need, candidates, s.rate.perSecond(now), now)
 	}
-	return s.placePrompt(b, need, candidates, now), nil
+	p.job = &tracked{at: now, Job: Job{
+		ID: JobID(b.lastID.Add(1)), Service: need.Service, Shares: shares, Weight: need.weight(),
+		Objective: need.Objective - need.Waited, MaxPause: need.MaxPause, Read: need.Engine == nil,
+	}}
+	s.add(p.job, now)
+	s.local[p.job.ID] = p.job
+	b.events.Started(p.job.Job)
+	return p, nil
 }
 
-// candidates returns the targets that may be tried, best first. Shunned
-// targets count only if there are no others.
+// candidates returns the targets that may be tried. Shunned ones count only if
+// there are no others.
 func (s *shard) candidates(need Need, targets []catalog.Target, now time.Time) []*load {
 	var good, shunned []*load
 	for _, t := range targets {
 		if slices.Contains(need.Avoid, t.ID) {
 			continue
 		}
-		l := s.load(t)
+		l := s.load(t.TargetKey)
+		l.target = t
 		if l.shunned(now) {
 			shunned = append(shunned, l)
 		} else {
@@ -103,32 +128,77 @@
 		}
 	}
 	if len(good) == 0 {
-		good = shunned
+		return shunned
 	}
-	sortByWait(good, now)
 	return good
 }
 
-func (s *shard) load(t catalog.Target) *load {
-	l := s.loads[t.TargetKey]
+func (s *shard) load(key catalog.TargetKey) *load {
+	l := s.loads[key]
 	if l == nil {
-		l = &load{}
-		s.loads[t.TargetKey] = l
+		l = &load{target: catalog.Target{TargetKey: key}, jobs: make(map[*tracked]Share)}
+		s.loads[key] = l
 	}
-	l.target = t
 	return l
 }
 
+// add counts a job at its targets.
+func (s *shard) add(t *tracked, now time.Time) {
+	for _, share := range t.Shares {
+		s.load(share.Target).add(t, share, now)
+	}
+	s.rate.arrived(&t.Job, now)
+}
+
+// read notes a job's first event.
+func (s *shard) read(t *tracked, now time.Time) {
+	if t.Read {
+		return
+	}
+	t.Read = true
+	for _, share := range t.Shares {
+		l := s.loads[share.Target]
+		if l == nil {
+			continue
+		}
+		l.endReading(now)
+		if !share.Writes {
+			delete(l.jobs, t)
+		}
+	}
+}
+
+// remove takes a job off its targets.
+func (s *shard) remove(t *tracked, now time.Time) {
+	for _, share := range t.Shares {
+		if l := s.loads[share.Target]; l != nil {
+			delete(l.jobs, t)
+			l.endReading(now)
+		}
+	}
+}
+
 // Retain forgets the loads of targets that are not registered and have no
 // request in progress.
-func (b *Board) Retain(service string, registered func(catalog.TargetKey) bool) {
-	s := b.shard(service)
+func (b *Board) Retain(registered func(catalog.TargetKey) bool) {
+	for _, s := range b.all() {
+		s.mu.Lock()
+		for key, l := range s.loads {
+			if len(l.jobs) == 0 && !registered(key) {
+				delete(s.loads, key)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Learn takes news of a target into account that no placement's end tells.
+func (b *Board) Learn(t catalog.Target, result Result) {
+	s := b.shard(t.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for key, l := range s.loads {
-		if l.readers == 0 && l.writers == 0 && !registered(key) {
-			delete(s.loads, key)
-		}
+	if l := s.loads[t.TargetKey]; l != nil {
+		l.learn(result, b.now())
 	}
 }
 
@@ -136,20 +206,11 @@
 func (p *Placement) FirstEvent() {
 	p.shard.mu.Lock()
 	defer p.shard.mu.Unlock()
-	p.endReadingLocked(p.board.now())
-}
-
-func (p *Placement) endReadingLocked(now time.Time) {
-	if !p.reading {
+	if p.ended || p.job.Read {
 		return
 	}
-	p.reading = false
-	for _, c := range p.charges {
-		if l := p.shard.loads[c.key]; l != nil {
-			l.endReading(now)
-			l.writers += boolInt(c.writes)
-		}
-	}
+	p.shard.read(p.job, p.board.now())
+	p.board.events.Read(p.job.ID)
 }
 
 // End takes the request off the board. Only its first call counts.
@@ -161,24 +222,10 @@
 		return
 	}
 	p.ended = true
-	p.endReadingLocked(now)
-	for _, c := range p.charges {
-		if l := p.shard.loads[c.key]; l != nil {
-			l.writers -= boolInt(c.writes)
-			l.tokens -= c.tokens
-		}
-	}
+	p.shard.remove(p.job, now)
+	delete(p.shard.local, p.job.ID)
 	if l := p.shard.loads[p.Primary.TargetKey]; l != nil {
 		l.learn(result, now)
 	}
-}
-
-// Learn takes news of a target into account that no placement's end tells.
-func (b *Board) Learn(t catalog.Target, result Result) {
-	s := b.shard(t.Service)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if l := s.loads[t.TargetKey]; l != nil {
-		l.learn(result, b.now())
-	}
+	p.board.events.Ended(p.job.ID)
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -11,119 +11,264 @@
 const (
 	// soloRead is the reading time up to which one engine reads a prompt alone.
 	soloRead = 120 * time.Millisecond
-	// partRead is the reading time aimed at for each engine of a long prompt.
-	partRead = 600 * time.Millisecond
-	// minParts and maxParts bound the engines that share one prompt.
-	minParts = 4
-	maxParts = 16
 	// memoryShare is the part of an engine's memory that one prompt may fill.
 	memoryShare = 0.85
 	// reservedShare is the part of an engine's memory that one reservation may take.
 	reservedShare = 0.5
-	// fullWait is added to the expected wait where the memory is promised already.
-	fullWait = 3 * time.Second
+	// fullCost is added where an engine's memory is promised already, in weights
+	// of the new request.
+	fullCost = 1.0
+	// unblocked is the reading that a short prompt behind it bears.
+	unblocked = 150 * time.Millisecond
+	// waitCost breaks ties between choices that are all in time, in weights of
+	// the request for a wait as long as its objective.
+	waitCost = 0.05
+	// blockedShare is the part of short prompts that meet a blocked engine
+	// even when few engines are blocked.
+	blockedShare = 0.1
 )
 
-// sortByWait orders loads by their predicted wait, equal ones at random.
-func sortByWait(loads []*load, now time.Time) {
-	rand.Shuffle(len(loads), func(i, j int) { loads[i], loads[j] = loads[j], loads[i] })
-	waits := make(map[*load]time.Duration, len(loads))
-	for _, l := range loads {
-		waits[l] = l.wait(now)
+// partCounts are the numbers of engines considered for one prompt.
+var partCounts = []int{1, 2, 3, 4, 6, 8, 10, 12, 14, 16}
+
+// choosePlain takes the target with the fewest requests.
+func (p *Placement) choosePlain(candidates []*load, now time.Time) []Share {
+	start := rand.IntN(len(candidates))
+	var best *load
+	var bestWait time.Duration
+	for i := range candidates {
+		l := candidates[(start+i)%len(candidates)]
+		wait := l.penalty(now) + plainCost*time.Duration(len(l.jobs))/time.Duration(max(l.target.Slots, 1))
+		if best == nil || wait < bestWait {
+			best, bestWait = l, wait
+		}
 	}
-	slices.SortStableFunc(loads, func(a, b *load) int { return int(waits[a] - waits[b]) })
+	p.Primary, p.Wait = best.target, bestWait
+	return []Share{{Target: best.target.TargetKey, Writes: true}}
 }
 
-func (s *shard) placePlain(b *Board, candidates []*load, now time.Time) *Placement {
-	l := candidates[0]
-	p := &Placement{Primary: l.target, Wait: l.wait(now), board: b, shard: s}
-	p.charges = []charge{{key: l.target.TargetKey, writes: true}}
-	l.writers++
-	return p
-}
+// plainCost is the expected wait at a plain target with all slots taken.
+const plainCost = 100 * time.Millisecond
 
-// NeedsReservations reports whether a prompt is too large for one engine.
-func NeedsReservations(need Need) bool {
-	return need.Engine != nil && float64(need.tokens()) > memoryShare*float64(need.Engine.MemoryTokens)
+// choice is a way to place a prompt.
+type choice struct {
+	engines []*engineState // the first one writes
+	work    time.Duration  // reading of each
+	wait    time.Duration  // until the first event
+	cost    float64        // in weights of requests that would be late
 }
 
-// partsFor is the number of engines that read a prompt together.
-func partsFor(need Need, available int) int {
-	alone := need.Engine.ReadTime(need.PromptTokens)
-	if alone <= soloRead {
-		return 1
+// choosePrompt takes the cheapest choice over the numbers of engines.
+func (p *Placement) choosePrompt(need *Need, candidates []*load, shortRate float64, now time.Time) []Share {
+	c := newChooser(need, candidates, shortRate, now)
+	var best *choice
+	for _, parts := range c.partCounts() {
+		if ch := c.choose(parts); best == nil || ch.cost < best.cost {
+			best = ch
+		}
 	}
-	parts := max(minParts, int((alone+partRead-1)/partRead))
-	return min(parts, maxParts, available)
-}
-
-func (s *shard) placePrompt(b *Board, need Need, candidates []*load, now time.Time) *Placement {
-	preferFree(need, candidates, now)
-	parts := partsFor(need, len(candidates))
-	chosen := candidates[:parts]
-	work := need.Engine.ReadTime(need.PromptTokens) / time.Duration(parts)
-	p := &Placement{Primary: chosen[0].target, board: b, shard: s, reading: true}
-	reserve := reservations(need, parts)
-	for i, l := range chosen {
-		p.Wait = max(p.Wait, l.wait(now)+work)
-		tokens := reserve
-		if reserve == 0 && i == 0 {
-			tokens = need.tokens()
+	p.Primary, p.Wait = best.engines[0].load.target, best.wait
+	reserved := reservation(need, len(best.engines))
+	shares := make([]Share, 0, len(best.engines))
+	for i, st := range best.engines {
+		share := Share{Target: st.load.target.TargetKey, Work: best.work, Tokens: reserved, Writes: reserved > 0 || i == 0}
+		if reserved == 0 && i == 0 {
+			share.Tokens = need.tokens()
 		}
-		if i > 0 || reserve > 0 {
-			p.Parts = append(p.Parts, Part{Target: l.target, Tokens: reserve})
+		if i > 0 || reserved > 0 {
+			p.Parts = append(p.Parts, Part{Target: st.load.target, Tokens: reserved})
 		}
-		p.charges = append(p.charges, charge{key: l.target.TargetKey, tokens: tokens, writes: tokens > 0})
-		l.tokens += tokens
-		l.addReading(work, now)
+		shares = append(shares, share)
 	}
-	return p
+	return shares
 }
 
-// preferFree moves the best engine with room for the whole prompt to the front.
-func preferFree(need Need, candidates []*load, now time.Time) {
-	capacity := need.Engine.MemoryTokens
-	if NeedsReservations(need) {
-		slices.SortStableFunc(candidates, func(a, b *load) int { return boolInt(a.tokens > 0) - boolInt(b.tokens > 0) })
-		return
+// chooser evaluates the choices for one prompt.
+type chooser struct {
+	need      *Need
+	engine    *catalog.Engine
+	states    []*engineState
+	weight    float64
+	shortRate float64 // short prompts a second at each engine
+	blocked   float64 // share of engines that a short prompt had better avoid
+}
+
+func newChooser(need *Need, candidates []*load, shortRate float64, now time.Time) *chooser {
+	c := &chooser{need: need, engine: need.Engine, weight: need.weight()}
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	blocked := 0
+	for _, l := range candidates {
+		st := newEngineState(l, need.Engine, now)
+		if st.backlog > unblocked {
+			blocked++
+		}
+		c.states = append(c.states, st)
 	}
-	best := -1
-	var bestWait time.Duration
-	for i, l := range candidates {
-		w := l.wait(now)
-		if l.tokens+need.tokens() > capacity {
-			w += fullWait
+	n := float64(len(c.states))
+	c.shortRate = shortRate / n
+	c.blocked = blockedShare + float64(blocked)/n
+	return c
+}
+
+// partCounts are the numbers of engines that come into question.
+func (c *chooser) partCounts() []int {
+	least := minParts(c.need)
+	if least == 1 && c.engine.ReadTime(c.need.PromptTokens) <= soloRead {
+		return []int{1}
+	}
+	var out []int
+	for _, n := range partCounts {
+		if n >= least && n <= len(c.states) {
+			out = append(out, n)
 		}
-		if best < 0 || w < bestWait {
-			best, bestWait = i, w
+	}
+	if len(out) == 0 {
+		out = []int{min(least, len(c.states))}
+	}
+	return out
+}
+
+// choose takes the cheapest engines for a number of parts.
+func (c *chooser) choose(parts int) *choice {
+	work := partWork(c.engine, c.need.PromptTokens, parts)
+	ranked := make([]rankedEngine, len(c.states))
+	for i, st := range c.states {
+		ranked[i] = c.rank(st, work)
+	}
+	slices.SortFunc(ranked, func(a, b rankedEngine) int { return compareFloat(a.total, b.total) })
+	chosen := ranked[:parts]
+	c.putWriterFirst(chosen)
+	ch := &choice{work: work}
+	for _, r := range chosen {
+		ch.engines = append(ch.engines, r.state)
+		ch.wait = max(ch.wait, r.wait)
+		ch.cost += r.harm
+	}
+	ch.cost += c.lateness(ch.wait) + c.memoryCost(ch.engines[0], parts)
+	return ch
+}
+
+// rankedEngine is one engine's part in a choice.
+type rankedEngine struct {
+	state *engineState
+	wait  time.Duration // until the part is read
+	harm  float64       // to others, in weights
+	total float64
+}
+
+func (c *chooser) rank(st *engineState, work time.Duration) rankedEngine {
+	r := rankedEngine{state: st, wait: st.firstEvent(c.engine, work), harm: c.harm(st, work)}
+	r.total = r.harm + c.lateness(r.wait)
+	if minParts(c.need) == 1 && c.engine.ReadTime(c.need.PromptTokens) <= soloRead {
+		r.total += c.memoryCost(st, 1)
+	}
+	return r
+}
+
+// harm is what the reading does to the requests at an engine and to the short
+// prompts that will come.
+func (c *chooser) harm(st *engineState, work time.Duration) float64 {
+	sum := 0.0
+	before := st.pass + st.backlog
+	for _, w := range st.writers {
+		sum += w.weight * (late(before+work, w.aim) - late(before, w.aim))
+	}
+	for _, r := range st.readers {
+		sum += r.weight * (late(before+work, r.aim) - late(before, r.aim))
+	}
+	extra := max(0, st.backlog+work-unblocked) - max(0, st.backlog-unblocked)
+	return sum + extra.Seconds()*c.shortRate*c.blocked
+}
+
+// lateness is what a wait costs the new request itself.
+func (c *chooser) lateness(wait time.Duration) float64 {
+	total := c.need.Waited + wait
+	cost := late(total, c.need.Objective) + waitCost*float64(total)/float64(max(c.need.Objective, time.Millisecond))
+	if c.need.Patience > 0 {
+		cost += late(total, c.need.Patience) / 2
+	}
+	return c.weight * cost
+}
+
+// memoryCost is the price of an engine that lacks the memory to write.
+func (c *chooser) memoryCost(st *engineState, parts int) float64 {
+	wanted := reservation(c.need, parts)
+	if wanted == 0 {
+		wanted = c.need.tokens()
+	}
+	over := st.tokens + wanted - c.engine.MemoryTokens
+	if over <= 0 {
+		return 0
+	}
+	return fullCost * c.weight
+}
+
+// putWriterFirst moves the engine with the most free memory to the front.
+func (c *chooser) putWriterFirst(chosen []rankedEngine) {
+	best := 0
+	for i := range chosen {
+		if chosen[i].state.tokens < chosen[best].state.tokens {
+			best = i
 		}
 	}
-	l := candidates[best]
-	copy(candidates[1:best+1], candidates[:best])
-	candidates[0] = l
+	chosen[0], chosen[best] = chosen[best], chosen[0]
+}
+
+// Bounds of the ramp from in time to late, in parts of the time aimed at: the
+// prediction is not exact.
+const (
+	surelyInTime = 0.75
+	surelyLate   = 1.15
+)
+
+// late is the probability that a predicted time misses an aim.
+func late(predicted, aim time.Duration) float64 {
+	if aim <= 0 {
+		return 1
+	}
+	x := float64(predicted) / float64(aim)
+	return min(1, max(0, (x-surelyInTime)/(surelyLate-surelyInTime)))
+}
+
+// NeedsReservations reports whether a prompt is too large for one engine.
+func NeedsReservations(need *Need) bool {
+	return need.Engine != nil && float64(need.tokens()) > memoryShare*float64(need.Engine.MemoryTokens)
 }
 
-// reservations is the memory to reserve on each of the engines, 0 if the
+// minParts is the smallest number of engines whose memory holds a prompt.
+func minParts(need *Need) int {
+	if !NeedsReservations(need) {
+		return 1
+	}
+	each := reservedShare * float64(need.Engine.MemoryTokens)
+	return int(float64(need.tokens())/each) + 1
+}
+
+// reservation is the memory to reserve on each of the engines, 0 if the
 // prompt fits into one.
-func reservations(need Need, parts int) int {
+func reservation(need *Need, parts int) int {
 	if !NeedsReservations(need) {
 		return 0
 	}
 	return need.tokens()/parts + 1
 }
 
+// maxParts is the largest number of engines that can share a prompt: the first
+// one and its helpers.
+const maxParts = 16
+
 // Feasible reports whether enough engines exist to hold a prompt.
-func Feasible(need Need, targets []catalog.Target) bool {
-	if !NeedsReservations(need) {
-		return true
-	}
-	parts := partsFor(need, len(targets))
-	return float64(reservations(need, parts)) <= reservedShare*float64(need.Engine.MemoryTokens)
+func Feasible(need *Need, targets int) bool {
+	return minParts(need) <= min(targets, maxParts)
 }
 
-func boolInt(b bool) int {
-	if b {
+func compareFloat(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
 		return 1
+	default:
+		return 0
 	}
-	return 0
 }
--- /dev/null
+++ b/internal/placement/engine.go
@@ -0,0 +1,68 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+)
+
+// Times of an engine follow from its published figures: a pass runs a fixed
+// number of steps and hands out one event for each stream that writes; reading
+// adds to the steps of the pass in which it is done.
+
+// chunkTokens is how many prompt tokens one step reads at most.
+const chunkTokens = 2048
+
+// engineState is one engine at the moment of a choice.
+type engineState struct {
+	load    *load
+	backlog time.Duration // until it has read what was sent to it
+	pass    time.Duration // from event to event, without reading
+	tokens  int           // memory in use
+	writers []deadline    // streams, with their longest pause
+	readers []deadline    // prompts being read, with what is left of their objective
+	penalty time.Duration
+}
+
+// deadline is a time that matters to one request.
+type deadline struct {
+	weight float64
+	aim    time.Duration
+}
+
+func newEngineState(l *load, e *catalog.Engine, now time.Time) *engineState {
+	st := &engineState{load: l, backlog: l.backlog(now), penalty: l.penalty(now)}
+	context := 0
+	for t, s := range l.jobs {
+		st.tokens += s.Tokens
+		switch {
+		case t.Read && s.Writes:
+			st.writers = append(st.writers, deadline{t.Weight, t.MaxPause})
+			context += s.Tokens
+		case !t.Read:
+			st.readers = append(st.readers, deadline{t.Weight, t.Objective - now.Sub(t.at)})
+		}
+	}
+	if len(st.writers) > 0 {
+		st.pass = passTime(e, len(st.writers), context)
+	}
+	return st
+}
+
+// passTime is the length of a pass without reading.
+func passTime(e *catalog.Engine, writers, contextTokens int) time.Duration {
+	step := e.Step + time.Duration(writers)*e.StepPerSeq + time.Duration(float64(contextTokens)/1000*float64(e.StepPerKilo))
+	return time.Duration(max(e.Stride, 1)) * step
+}
+
+// partWork is the reading of one of several engines that share a prompt.
+func partWork(e *catalog.Engine, tokens, parts int) time.Duration {
+	chunks := tokens/parts/chunkTokens + 1
+	return e.ReadTime(tokens)/time.Duration(parts) + time.Duration(chunks)*e.Step
+}
+
+// firstEvent predicts when a prompt would get its first event.
+func (st *engineState) firstEvent(e *catalog.Engine, work time.Duration) time.Duration {
+	pass := max(st.pass, time.Duration(e.Stride)*e.Step)
+	return st.penalty + st.backlog + st.pass/2 + work + pass
+}
--- /dev/null
+++ b/internal/placement/job.go
@@ -0,0 +1,51 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+)
+
+// JobID numbers the requests that one host has placed.
+type JobID uint64
+
+// Share is what a request takes up at one target.
+type Share struct {
+	Target catalog.TargetKey
+	Work   time.Duration // reading
+	Tokens int           // memory
+	Writes bool          // takes part in writing, beside reading
+}
+
+// Job is a placed request, as hosts tell each other.
+type Job struct {
+	ID        JobID
+	Service   string
+	Shares    []Share
+	Weight    float64
+	Objective time.Duration // left when the job was placed
+	MaxPause  time.Duration
+	Read      bool // the first event has come
+}
+
+// Events are told of the jobs that this host places. Its methods are called
+// under the board's locks and must not block.
+type Events interface {
+	Started(Job)
+	Read(JobID)
+	Ended(JobID)
+}
+
+// noEvents is used where nobody wants to know.
+type noEvents struct{}
+
+func (noEvents) Started(Job) {}
+func (noEvents) Read(JobID)  {}
+func (noEvents) Ended(JobID) {}
+
+// tracked is a job on the board.
+type tracked struct {
+	Job
+	host string // peer that placed it, empty for this host
+	at   time.Time
+}
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -7,14 +7,15 @@
 )
 
 const (
-	// streamCost is what a writing stream adds to the expected wait at its engine.
-	streamCost = 5 * time.Millisecond
 	// faultCost is added to the expected wait at a target all of whose recent answers were faults.
 	faultCost = 2 * time.Second
 	// faultWeight is the weight of the newest answer in the share of faults.
 	faultWeight = 0.25
 	// faultFade is the time after which a share of faults counts half.
 	faultFade = 3 * time.Second
+	// behindShare is the part of the unread work that is expected to be left
+	// where an engine takes longer than predicted.
+	behindShare = 0.25
 
 	shedPause      = 150 * time.Millisecond
 	firstShunning  = 500 * time.Millisecond
@@ -25,10 +26,8 @@
 // load is what one host knows of one target.
 type load struct {
 	target  catalog.Target
+	jobs    map[*tracked]Share
 	readyAt time.Time // when the engine has read all that was sent to it
-	readers int       // requests that wait for their first event
-	writers int       // requests that get events, or run at a plain service
-	tokens  int       // engine memory of the requests in progress
 
 	faults    float64 // share of faults among recent answers
 	faultsAt  time.Time
@@ -36,38 +35,68 @@
 	shunFor   time.Duration // of the next shunning
 }
 
-// wait is the predicted time until the target gets to a new request.
-func (l *load) wait(now time.Time) time.Duration {
-	w := time.Duration(l.writers) * streamCost
-	if l.readers > 0 && l.readyAt.After(now) {
-		w += l.readyAt.Sub(now)
+// add counts a job's share.
+func (l *load) add(t *tracked, s Share, now time.Time) {
+	l.jobs[t] = s
+	if t.Read || s.Work == 0 {
+		return
+	}
+	if l.readyAt.Before(now) {
+		l.readyAt = now.Add(l.unread(t))
 	}
-	return w + time.Duration(l.faultShare(now)*float64(faultCost))
+	l.readyAt = l.readyAt.Add(s.Work)
 }
 
-func (l *load) faultShare(now time.Time) float64 {
-	halves := float64(now.Sub(l.faultsAt)) / float64(faultFade)
-	return l.faults / (1 + halves)
+// unread is the reading of all jobs but one that have no first event yet.
+func (l *load) unread(except *tracked) time.Duration {
+	var sum time.Duration
+	for t, s := range l.jobs {
+		if t != except && !t.Read {
+			sum += s.Work
+		}
+	}
+	return time.Duration(behindShare * float64(sum))
 }
 
-func (l *load) shunned(now time.Time) bool { return now.Before(l.shunUntil) }
-
-// addReading queues a prompt's part behind what the engine still has to read.
-func (l *load) addReading(work time.Duration, now time.Time) {
-	if l.readers == 0 || l.readyAt.Before(now) {
-		l.readyAt = now
+// endReading notes that a job has been read.
+func (l *load) endReading(now time.Time) {
+	var left time.Duration
+	for t, s := range l.jobs {
+		if !t.Read {
+			left += s.Work
+		}
+	}
+	if bound := now.Add(left); l.readyAt.After(bound) {
+		l.readyAt = bound
 	}
-	l.readyAt = l.readyAt.Add(work)
-	l.readers++
 }
 
-func (l *load) endReading(now time.Time) {
-	l.readers--
-	if l.readers == 0 {
-		l.readyAt = now
+// backlog is the predicted time until the engine has read what was sent to it.
+func (l *load) backlog(now time.Time) time.Duration {
+	return max(l.readyAt.Sub(now), l.unread(nil))
+}
+
+// tokens is the memory of the jobs in progress.
+func (l *load) tokens() int {
+	sum := 0
+	for _, s := range l.jobs {
+		sum += s.Tokens
 	}
+	return sum
 }
 
+func (l *load) faultShare(now time.Time) float64 {
+	halves := float64(now.Sub(l.faultsAt)) / float64(faultFade)
+	return l.faults / (1 + halves)
+}
+
+// penalty is the wait that recent faults are worth.
+func (l *load) penalty(now time.Time) time.Duration {
+	return time.Duration(l.faultShare(now) * float64(faultCost))
+}
+
+func (l *load) shunned(now time.Time) bool { return now.Before(l.shunUntil) }
+
 // learn takes the end of an attempt into account.
 func (l *load) learn(r Result, now time.Time) {
 	fault := 0.0
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,17 +1,31 @@
 // Package placement decides which targets serve a request. For model engines
-// it predicts when the first event could come, from what this host has sent
-// where and what it will cost there; for plain services it takes the target
-// with the fewest requests. It performs no I/O.
+// it predicts when the first event could come and what the choice does to the
+// streams that already run there, from what this host and its peers have sent
+// where. For plain services it takes the target with the fewest requests. It
+// performs no I/O.
 package placement
 
-import "github.com/plantainrun/plantainrun/internal/catalog"
+import (
+	"errors"
+	"math"
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+)
+
+// ErrNoTarget means that no registered target is left to try.
+var ErrNoTarget = errors.New("no usable target: wait until one registers or comes back")
 
 // Need describes a request to be placed.
 type Need struct {
 	Service      string
 	Engine       *catalog.Engine // nil for a plain service
 	PromptTokens int
-	OutputTokens int // expected
+	OutputTokens int           // expected
+	Objective    time.Duration // from the request's arrival to its first event
+	MaxPause     time.Duration // between two events of a timely stream
+	Patience     time.Duration // after which the caller leaves
+	Waited       time.Duration // since the request's arrival
 	// Avoid lists targets that have been tried for this request.
 	Avoid []string
 }
@@ -19,7 +33,20 @@
 // tokens is the engine memory that a request takes up at most.
 func (n *Need) tokens() int { return n.PromptTokens + n.OutputTokens }
 
-// Part is a share of a prompt's memory on one target.
+const (
+	// weightTokens is the prompt whose weight is 1.
+	weightTokens = 5000
+	// weightPower makes a long prompt count for more than a short one, but for
+	// less than in proportion to its length.
+	weightPower = 0.75
+)
+
+// weight is how much it matters that a request is in time.
+func (n *Need) weight() float64 {
+	return math.Pow(float64(max(n.PromptTokens, 1))/weightTokens, weightPower)
+}
+
+// Part is a share of a prompt on one target.
 type Part struct {
 	Target catalog.Target
 	Tokens int // to reserve; 0 for a helper that only reads
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -62,7 +62,7 @@
 func (j *job) place() (*placement.Placement, Reason) {
 	targets := j.relay.cfg.Knowledge.View().Targets(j.serviceName)
 	need := j.need()
-	if len(targets) > 0 && !placement.Feasible(need, targets) {
+	if len(targets) > 0 && !placement.Feasible(&need, len(targets)) {
 		return nil, ReasonHopeless
 	}
 	placed, err := j.relay.cfg.Board.Place(need, targets)
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -154,7 +154,11 @@
 
 // need describes the request to the placement.
 func (j *job) need() placement.Need {
-	n := placement.Need{Service: j.serviceName, Engine: j.service.Engine, PromptTokens: j.req.PromptTokens, Avoid: j.avoid}
+	n := placement.Need{
+		Service: j.serviceName, Engine: j.service.Engine, PromptTokens: j.req.PromptTokens,
+		Objective: j.route.Objective, MaxPause: j.route.MaxPause, Patience: j.route.Patience(),
+		Waited: time.Since(j.req.Arrived), Avoid: j.avoid,
+	}
 	n.OutputTokens = hintFloor + int(hintFactor*float64(j.req.OutputHint))
 	if j.req.OutputLimit > 0 {
 		n.OutputTokens = min(n.OutputTokens, j.req.OutputLimit)
