Tell peers what is placed where, and find them by seeds

Cause: six hosts placed blind to each other and met on the same engines. Each host now keeps one link to every peer (yamux, protobuf) and tells starts, first events and ends of its jobs, and requests that broke off.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -14,6 +14,7 @@
 	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/follow"
 	"github.com/plantainrun/plantainrun/internal/httpserver"
+	"github.com/plantainrun/plantainrun/internal/peers"
 	"github.com/plantainrun/plantainrun/internal/placement"
 	"github.com/plantainrun/plantainrun/internal/relay"
 )
@@ -62,6 +63,7 @@
 	follower *follow.Follower
 	board    *placement.Board
 	relay    *relay.Relay
+	peers    *peers.Service
 	metrics  *metrics
 	draining atomic.Bool
 	started  atomic.Bool
@@ -82,16 +84,22 @@
 	h.follower = follow.New(adapter.Source, log)
 	h.follower.OnChanged(h.forgetTargets)
 	h.metrics = newMetrics(h.follower)
+	h.peers = peers.New(peers.Config{
+		HostID: settings.HostID, Domain: settings.Domain, Addr: settings.PeersAddr, Seeds: settings.Seeds, Board: h.board, Log: log,
+	})
+	h.board.Notify(h.peers)
 	h.relay = relay.New(relay.Config{
 		Knowledge: h.follower,
 		Board:     h.board,
 		Transport: adapter.Transport,
 		Budget:    budget,
 		Observer:  h.metrics,
+		Peers:     h.peers,
 		Log:       log,
 		Settings:  relaySettings(settings),
 		Name:      settings.HostID,
 	})
+	h.peers.SetCrashes(h.relay)
 	return h, h.listeners()
 }
 
@@ -135,6 +143,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	go h.follower.Run(ctx)
+	if h.settings.PeersAddr.IsValid() {
+		if err := h.peers.Start(ctx); err != nil {
+			cancel()
+			return err
+		}
+	}
 	for _, srv := range []*httpserver.Server{h.ready, h.callers, h.counters} {
 		if srv == nil {
 			continue
--- /dev/null
+++ b/internal/peers/codec.go
@@ -0,0 +1,50 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/peers/peerspb"
+	"github.com/plantainrun/plantainrun/internal/placement"
+)
+
+func encodeJob(j placement.Job) *peerspb.Job {
+	pb := &peerspb.Job{
+		Id:          uint64(j.ID),
+		Service:     j.Service,
+		Weight:      float32(j.Weight),
+		ObjectiveMs: int32(j.Objective.Milliseconds()),
+		MaxPauseMs:  uint32(j.MaxPause.Milliseconds()),
+		Read:        j.Read,
+	}
+	for _, s := range j.Shares {
+		pb.Shares = append(pb.Shares, &peerspb.Share{
+			Target: s.Target.ID,
+			Born:   s.Target.Born,
+			WorkUs: uint32(s.Work.Microseconds()),
+			Tokens: uint32(s.Tokens),
+			Writes: s.Writes,
+		})
+	}
+	return pb
+}
+
+func decodeJob(pb *peerspb.Job) placement.Job {
+	j := placement.Job{
+		ID:        placement.JobID(pb.GetId()),
+		Service:   pb.GetService(),
+		Weight:    float64(pb.GetWeight()),
+		Objective: time.Duration(pb.GetObjectiveMs()) * time.Millisecond,
+		MaxPause:  time.Duration(pb.GetMaxPauseMs()) * time.Millisecond,
+		Read:      pb.GetRead(),
+	}
+	for _, s := range pb.GetShares() {
+		j.Shares = append(j.Shares, placement.Share{
+			Target: catalog.TargetKey{ID: s.GetTarget(), Born: s.GetBorn()},
+			Work:   time.Duration(s.GetWorkUs()) * time.Microsecond,
+			Tokens: int(s.GetTokens()),
+			Writes: s.GetWrites(),
+		})
+	}
+	return j
+}
--- /dev/null
+++ b/internal/peers/link.go
@@ -0,0 +1,188 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/plantainrun/plantainrun/internal/netdial"
+	"github.com/plantainrun/plantainrun/internal/peers/peerspb"
+)
+
+const (
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 1500 * time.Millisecond
+	// maxQueued is how many events may wait for a peer that does not read; then
+	// the connection is opened anew and begins with all jobs in progress.
+	maxQueued = 4096
+)
+
+var errQueueFull = errors.New("the peer does not read its news")
+
+// link sends news to one address, over one connection after the other.
+type link struct {
+	service *Service
+	addr    netip.AddrPort
+	cancel  context.CancelFunc
+	wake    chan struct{}
+
+	mu       sync.Mutex
+	up       bool
+	overflow bool
+	pending  *peerspb.News
+	queued   int
+}
+
+func (s *Service) openLink(ctx context.Context, addr netip.AddrPort) *link {
+	linkCtx, cancel := context.WithCancel(ctx)
+	l := &link{service: s, addr: addr, cancel: cancel, wake: make(chan struct{}, 1), pending: &peerspb.News{}}
+	go l.run(linkCtx)
+	return l
+}
+
+// queue adds an event to the next message. Without a connection nothing is
+// kept: the next one begins with all jobs in progress.
+func (l *link) queue(add func(*peerspb.News)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.up {
+		return
+	}
+	if l.queued >= maxQueued {
+		l.overflow = true
+		return
+	}
+	add(l.pending)
+	l.queued++
+	select {
+	case l.wake <- struct{}{}:
+	default: // it is awake
+	}
+}
+
+// take returns what is to be sent.
+func (l *link) take() (*peerspb.News, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.overflow {
+		return nil, errQueueFull
+	}
+	n := l.pending
+	l.pending = &peerspb.News{}
+	l.queued = 0
+	return n, nil
+}
+
+func (l *link) setUp(up bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.up = up
+	l.overflow = false
+	l.pending = &peerspb.News{}
+	l.queued = 0
+}
+
+func (l *link) run(ctx context.Context) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := l.connect(ctx)
+		l.setUp(false)
+		if time.Since(began) > maxBackoff {
+			backoff = firstBackoff
+			l.service.cfg.Log.Info("link to peer lost", zap.Stringer("addr", l.addr), zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(backoff):
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// connect opens a connection and sends on it until it fails.
+func (l *link) connect(ctx context.Context) error {
+	conn, err := netdial.New(dialTimeout).DialContext(ctx, "tcp", l.addr.String())
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		return err
+	}
+	defer session.Close()
+	stop := context.AfterFunc(ctx, func() { session.Close() })
+	defer stop()
+	stream, err := session.OpenStream()
+	if err != nil {
+		return err
+	}
+	l.setUp(true)
+	if err := l.send(stream, l.service.hello()); err != nil {
+		return err
+	}
+	l.service.cfg.Log.Info("link to peer up", zap.Stringer("addr", l.addr))
+	return l.sendAll(ctx, stream)
+}
+
+// sendAll sends queued events, and a heartbeat where there are none.
+func (l *link) sendAll(ctx context.Context, stream net.Conn) error {
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	for {
+		known := false
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.wake:
+			time.Sleep(coalesce)
+		case <-heartbeat.C:
+			known = true
+		}
+		news, err := l.take()
+		if err != nil {
+			return err
+		}
+		if known {
+			news.Known = l.service.hosts.lately(time.Now())
+		}
+		if err := l.send(stream, news); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *link) send(stream net.Conn, news *peerspb.News) error {
+	if err := stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err := protodelim.MarshalTo(stream, news)
+	return err
+}
+
+// hello is the first message of a connection.
+func (s *Service) hello() *peerspb.News {
+	n := &peerspb.News{From: s.self, Known: s.hosts.lately(time.Now())}
+	for _, job := range s.cfg.Board.Local() {
+		n.Started = append(n.Started, encodeJob(job))
+	}
+	return n
+}
+
+func sessionConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false // the messages are heartbeats
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.StreamOpenTimeout = 0 // a write fails in time
+	cfg.LogOutput = io.Discard
+	return cfg
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,178 @@
+// Package peers tells the other hosts what this one has placed where, and
+// learns the same from them. Hosts find each other by seeds and by what other
+// hosts know. All of it is a hint: a host that hears nothing still serves.
+//
+// Each host keeps one connection to every peer it knows and sends on it; what
+// peers send arrives on the connections that they opened. A connection carries
+// one yamux stream of length-delimited protobuf messages.
+package peers
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/peers/peerspb"
+	"github.com/plantainrun/plantainrun/internal/placement"
+)
+
+const (
+	// coalesce is how long events wait for others to share a message.
+	coalesce = 2 * time.Millisecond
+	// heartbeatInterval is the time between messages without events.
+	heartbeatInterval = time.Second
+	// heartbeatTimeout is the silence after which a peer's news is dropped.
+	heartbeatTimeout = 3500 * time.Millisecond
+	upkeepInterval   = 500 * time.Millisecond
+	dialTimeout      = 600 * time.Millisecond
+	writeTimeout     = 2 * time.Second
+	// forgetAfter is how long an unreachable host is remembered.
+	forgetAfter = 2 * time.Minute
+	// maxLinks bounds the peers that a host sends to.
+	maxLinks = 32
+)
+
+// Crashes learns of requests that broke off at targets.
+type Crashes interface {
+	LearnCrash(fingerprint uint64, target catalog.TargetKey)
+}
+
+// Config holds what a Service needs.
+type Config struct {
+	HostID string
+	Domain string
+	Addr   netip.AddrPort // to listen on
+	Seeds  []netip.AddrPort
+	Board  *placement.Board
+	Log    *zap.Logger
+}
+
+// Service exchanges news. It implements placement.Events and is safe for
+// concurrent use.
+type Service struct {
+	cfg     Config
+	self    *peerspb.Host
+	crashes Crashes
+	hosts   *hostTable
+
+	mu       sync.Mutex
+	links    map[netip.AddrPort]*link
+	inbound  map[string]uint64 // newest connection of each peer
+	sequence uint64            // of inbound connections
+}
+
+// New returns a service that is not started.
+func New(cfg Config) *Service {
+	return &Service{
+		cfg:     cfg,
+		self:    &peerspb.Host{Id: cfg.HostID, StartedMs: time.Now().UnixMilli(), Addr: cfg.Addr.String(), Domain: cfg.Domain},
+		hosts:   newHostTable(cfg.Addr, cfg.Seeds),
+		links:   make(map[netip.AddrPort]*link),
+		inbound: make(map[string]uint64),
+	}
+}
+
+// SetCrashes sets who learns of crashes. Call it before Start.
+func (s *Service) SetCrashes(c Crashes) { s.crashes = c }
+
+// Start listens and keeps connections until ctx ends.
+func (s *Service) Start(ctx context.Context) error {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", s.cfg.Addr.String())
+	if err != nil {
+		return eris.Wrapf(err, "cannot listen for peers on %s, choose a free address", s.cfg.Addr)
+	}
+	context.AfterFunc(ctx, func() { listener.Close() })
+	go s.accept(ctx, listener)
+	go s.upkeep(ctx)
+	return nil
+}
+
+// Known is the number of hosts heard of lately, this one included.
+func (s *Service) Known() int { return s.hosts.count(time.Now()) + 1 }
+
+// upkeep opens and closes links as hosts come and go.
+func (s *Service) upkeep(ctx context.Context) {
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for {
+		s.adjustLinks(ctx)
+		s.cfg.Board.Expire()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Service) adjustLinks(ctx context.Context) {
+	wanted := s.hosts.toDial(time.Now(), maxLinks)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for addr, l := range s.links {
+		if _, ok := wanted[addr]; !ok {
+			l.cancel()
+			delete(s.links, addr)
+		}
+	}
+	for addr := range wanted {
+		if s.links[addr] == nil {
+			s.links[addr] = s.openLink(ctx, addr)
+		}
+	}
+}
+
+// Started tells peers of a placed job.
+func (s *Service) Started(job placement.Job) {
+	pb := encodeJob(job)
+	s.broadcast(func(n *peerspb.News) { n.Started = append(n.Started, pb) })
+}
+
+// Read tells peers of a job's first event.
+func (s *Service) Read(id placement.JobID) {
+	s.broadcast(func(n *peerspb.News) { n.Read = append(n.Read, uint64(id)) })
+}
+
+// Ended tells peers of a job's end.
+func (s *Service) Ended(id placement.JobID) {
+	s.broadcast(func(n *peerspb.News) { n.Ended = append(n.Ended, uint64(id)) })
+}
+
+// Crashed tells peers that a request broke off at a target.
+func (s *Service) Crashed(fingerprint uint64, target catalog.TargetKey) {
+	c := &peerspb.Crash{Fingerprint: fingerprint, Target: target.ID, Born: target.Born}
+	s.broadcast(func(n *peerspb.News) { n.Crashes = append(n.Crashes, c) })
+}
+
+func (s *Service) broadcast(add func(*peerspb.News)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.links {
+		l.queue(add)
+	}
+}
+
+// apply takes a peer's news over.
+func (s *Service) apply(host string, n *peerspb.News) {
+	for _, h := range n.GetKnown() {
+		s.hosts.mention(h, time.Now())
+	}
+	for _, j := range n.GetStarted() {
+		s.cfg.Board.RemoteStarted(host, decodeJob(j))
+	}
+	for _, id := range n.GetRead() {
+		s.cfg.Board.RemoteRead(host, placement.JobID(id))
+	}
+	for _, id := range n.GetEnded() {
+		s.cfg.Board.RemoteEnded(host, placement.JobID(id))
+	}
+	for _, c := range n.GetCrashes() {
+		s.crashes.LearnCrash(c.GetFingerprint(), catalog.TargetKey{ID: c.GetTarget(), Born: c.GetBorn()})
+	}
+}
--- /dev/null
+++ b/internal/peers/ring.go
@@ -0,0 +1,10 @@
+package peers
+
+import (
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// position is where a host stands on the ring.
+func position(a netip.AddrPort) uint64 { return xxhash.Sum64String(a.String()) }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -122,7 +122,7 @@
 	if !sent {
 		return notRun, ReasonNoTarget
 	}
-	j.relay.crashes.note(j.fingerprint(), placed.Primary.TargetKey)
+	j.crashed(placed.Primary.TargetKey)
 	return lost, ReasonLost
 }
 
@@ -231,7 +231,7 @@
 		return lost, ReasonTimeout
 	}
 	placed.End(placement.Faulty)
-	j.relay.crashes.note(j.fingerprint(), placed.Primary.TargetKey)
+	j.crashed(placed.Primary.TargetKey)
 	return lost, ReasonLost
 }
 
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -82,6 +82,18 @@
 	}
 }
 
+// LearnCrash takes a peer's news of a request that broke off.
+func (r *Relay) LearnCrash(request uint64, target catalog.TargetKey) {
+	r.crashes.note(fingerprint(request), target)
+}
+
+// crashed notes that this request broke off at a target, and tells peers.
+func (j *job) crashed(target catalog.TargetKey) {
+	fp := j.fingerprint()
+	j.relay.crashes.note(fp, target)
+	j.relay.cfg.Peers.Crashed(uint64(fp), target)
+}
+
 // quarantined reports whether a request has broken too many targets.
 func (c *crashes) quarantined(fp fingerprint) bool {
 	c.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,12 +43,19 @@
 	Transport Transport
 	Budget    Budget
 	Observer  Observer
+	Peers     Peers
 	Log       *zap.Logger
 	Settings  Settings
 	// Name makes ids of reservations unique among hosts.
 	Name string
 }
 
+// Peers are told what other hosts should know at once.
+type Peers interface {
+	// Crashed says that a request broke off at a target.
+	Crashed(request uint64, target catalog.TargetKey)
+}
+
 // Observer counts what becomes of requests.
 type Observer interface {
 	Refused(reason Reason)
