--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -26,7 +26,7 @@
 	loads  map[catalog.TargetKey]*load
 	local  map[JobID]*tracked
 	remote map[string]map[JobID]*tracked // by peer
-	rate   arrivalRate
+	demand demand
 }
 
 // NewBoard returns an empty board that reads the time from now.
@@ -99,7 +99,7 @@
 	if need.Engine == nil {
 		shares = p.choosePlain(candidates, now)
 	} else {
-		shares = p.choosePrompt(&need, candidates, s.rate.perSecond(now), now)
+		shares = p.choosePrompt(&need, candidates, &s.demand, now)
 	}
 	p.job = &tracked{at: now, Job: Job{
 		ID: JobID(b.lastID.Add(1)), Service: need.Service, Shares: shares, Weight: need.weight(),
@@ -147,7 +147,7 @@
 	for _, share := range t.Shares {
 		s.load(share.Target).add(t, share, now)
 	}
-	s.rate.arrived(&t.Job, now)
+	s.demand.arrived(&t.Job, now)
 }
 
 // read notes a job's first event.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -59,8 +59,8 @@
 }
 
 // choosePrompt takes the cheapest choice over the numbers of engines.
-func (p *Placement) choosePrompt(need *Need, candidates []*load, shortRate float64, now time.Time) []Share {
-	c := newChooser(need, candidates, shortRate, now)
+func (p *Placement) choosePrompt(need *Need, candidates []*load, d *demand, now time.Time) []Share {
+	c := newChooser(need, candidates, d, now)
 	var best *choice
 	for _, parts := range c.partCounts() {
 		if ch := c.choose(parts); best == nil || ch.cost < best.cost {
@@ -93,7 +93,7 @@
 	blocked   float64 // share of engines that a short prompt had better avoid
 }
 
-func newChooser(need *Need, candidates []*load, shortRate float64, now time.Time) *chooser {
+func newChooser(need *Need, candidates []*load, d *demand, now time.Time) *chooser {
 	c := &chooser{need: need, engine: need.Engine, weight: need.weight()}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	blocked := 0
@@ -105,17 +105,18 @@
 		c.states = append(c.states, st)
 	}
 	n := float64(len(c.states))
-	c.shortRate = shortRate / n
+	c.shortRate = d.short.perSecond(now) / n
+	markReaders(c.states, d.reading.perSecond(now))
 	c.blocked = blockedShare + float64(blocked)/n
 	return c
 }
 
 // partCounts are the numbers of engines that come into question.
 func (c *chooser) partCounts() []int {
-	least := minParts(c.need)
-	if least == 1 && c.engine.ReadTime(c.need.PromptTokens) <= soloRead {
+	if c.solo() {
 		return []int{1}
 	}
+	least := minParts(c.need)
 	var out []int
 	for _, n := range partCounts {
 		if n >= least && n <= len(c.states) {
@@ -137,14 +138,18 @@
 	}
 	slices.SortFunc(ranked, func(a, b rankedEngine) int { return compareFloat(a.total, b.total) })
 	chosen := ranked[:parts]
-	c.putWriterFirst(chosen)
+	c.putWriterFirst(chosen, parts)
 	ch := &choice{work: work}
 	for _, r := range chosen {
 		ch.engines = append(ch.engines, r.state)
 		ch.wait = max(ch.wait, r.wait)
 		ch.cost += r.harm
 	}
-	ch.cost += c.lateness(ch.wait) + c.memoryCost(ch.engines[0], parts)
+	if !c.solo() {
+		ch.wait += ch.engines[0].slotWait(c.engine)
+		ch.cost += c.writeCost(ch.engines[0], parts)
+	}
+	ch.cost += c.lateness(ch.wait)
 	return ch
 }
 
@@ -158,10 +163,13 @@
 
 func (c *chooser) rank(st *engineState, work time.Duration) rankedEngine {
 	r := rankedEngine{state: st, wait: st.firstEvent(c.engine, work), harm: c.harm(st, work)}
-	r.total = r.harm + c.lateness(r.wait)
-	if minParts(c.need) == 1 && c.engine.ReadTime(c.need.PromptTokens) <= soloRead {
-		r.total += c.memoryCost(st, 1)
+	if c.solo() {
+		r.wait += st.slotWait(c.engine)
+		r.harm += c.writeCost(st, 1)
+	} else if !st.reader {
+		r.harm += readOnWriter * work.Seconds()
 	}
+	r.total = r.harm + c.lateness(r.wait)
 	return r
 }
 
@@ -190,25 +198,35 @@
 	return c.weight * cost
 }
 
-// memoryCost is the price of an engine that lacks the memory to write.
-func (c *chooser) memoryCost(st *engineState, parts int) float64 {
+// writeCost is the price of writing on an engine that lacks the memory, or
+// that is kept for reading.
+func (c *chooser) writeCost(st *engineState, parts int) float64 {
+	cost := 0.0
+	if st.reader {
+		cost += writeOnReader * c.weight
+	}
 	wanted := reservation(c.need, parts)
 	if wanted == 0 {
 		wanted = c.need.tokens()
 	}
-	over := st.tokens + wanted - c.engine.MemoryTokens
-	if over <= 0 {
-		return 0
+	if st.tokens+wanted > c.engine.MemoryTokens {
+		cost += fullCost * c.weight
 	}
-	return fullCost * c.weight
+	return cost
+}
+
+// solo reports whether one engine reads the prompt alone in any case.
+func (c *chooser) solo() bool {
+	return minParts(c.need) == 1 && c.engine.ReadTime(c.need.PromptTokens) <= soloRead
 }
 
-// putWriterFirst moves the engine with the most free memory to the front.
-func (c *chooser) putWriterFirst(chosen []rankedEngine) {
-	best := 0
-	for i := range chosen {
-		if chosen[i].state.tokens < chosen[best].state.tokens {
-			best = i
+// putWriterFirst moves the engine that had best write to the front.
+func (c *chooser) putWriterFirst(chosen []rankedEngine, parts int) {
+	best, bestCost := 0, 0.0
+	for i, r := range chosen {
+		cost := c.writeCost(r.state, parts) + float64(r.state.tokens)/float64(c.engine.MemoryTokens) + float64(r.state.running)/float64(max(c.engine.Slots, 1))
+		if i == 0 || cost < bestCost {
+			best, bestCost = i, cost
 		}
 	}
 	chosen[0], chosen[best] = chosen[best], chosen[0]
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -21,7 +21,10 @@
 	tokens  int           // memory in use
 	writers []deadline    // streams, with their longest pause
 	readers []deadline    // prompts being read, with what is left of their objective
+	running int           // requests that take up a slot
 	penalty time.Duration
+	// reader marks an engine that is kept for reading parts of long prompts.
+	reader bool
 }
 
 // deadline is a time that matters to one request.
@@ -35,6 +38,9 @@
 	context := 0
 	for t, s := range l.jobs {
 		st.tokens += s.Tokens
+		if s.Writes {
+			st.running++
+		}
 		switch {
 		case t.Read && s.Writes:
 			st.writers = append(st.writers, deadline{t.Weight, t.MaxPause})
@@ -66,3 +72,15 @@
 	pass := max(st.pass, time.Duration(e.Stride)*e.Step)
 	return st.penalty + st.backlog + st.pass/2 + work + pass
 }
+
+// slotWait is the expected time until a slot for writing is free.
+func (st *engineState) slotWait(e *catalog.Engine) time.Duration {
+	over := st.running - e.Slots + 1
+	if e.Slots == 0 || over <= 0 {
+		return 0
+	}
+	return time.Duration(over) * slotTurnover
+}
+
+// slotTurnover is the expected time between two ends of requests on a full engine.
+const slotTurnover = 150 * time.Millisecond
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -7,7 +7,6 @@
 
 import (
 	"errors"
-	"math"
 	"time"
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
@@ -34,16 +33,16 @@
 func (n *Need) tokens() int { return n.PromptTokens + n.OutputTokens }
 
 const (
-	// weightTokens is the prompt whose weight is 1.
-	weightTokens = 5000
-	// weightPower makes a long prompt count for more than a short one, but for
-	// less than in proportion to its length.
-	weightPower = 0.75
+	// weightTokens is the size whose weight is 1.
+	weightTokens = 20000
+	// outputFactor is how many prompt tokens an output token counts for.
+	outputFactor = 10
 )
 
-// weight is how much it matters that a request is in time.
+// weight is how much it matters that a request is in time: its size, in which
+// writing a token counts for more than reading one.
 func (n *Need) weight() float64 {
-	return math.Pow(float64(max(n.PromptTokens, 1))/weightTokens, weightPower)
+	return float64(n.PromptTokens+outputFactor*n.OutputTokens) / weightTokens
 }
 
 // Part is a share of a prompt on one target.
--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -6,35 +6,51 @@
 )
 
 const (
-	// rateMemory is the time constant of the arrival rate.
-	rateMemory = 2 * time.Second
+	// rateMemory is the time constant of arrival rates.
+	rateMemory = 3 * time.Second
 	// shortWork is the reading up to which a prompt counts as short.
 	shortWork = 120 * time.Millisecond
 )
 
-// arrivalRate estimates how many short prompts arrive a second, by
-// exponentially decaying counts.
-type arrivalRate struct {
-	count float64
-	at    time.Time
+// rate estimates an amount a second by exponentially decaying sums.
+type rate struct {
+	sum float64
+	at  time.Time
 }
 
-func (r *arrivalRate) decay(now time.Time) {
+func (r *rate) add(amount float64, now time.Time) {
+	r.decay(now)
+	r.sum += amount
+}
+
+func (r *rate) perSecond(now time.Time) float64 {
+	r.decay(now)
+	return r.sum / rateMemory.Seconds()
+}
+
+func (r *rate) decay(now time.Time) {
 	if !r.at.IsZero() {
-		r.count *= math.Exp(-now.Sub(r.at).Seconds() / rateMemory.Seconds())
+		r.sum *= math.Exp(-now.Sub(r.at).Seconds() / rateMemory.Seconds())
 	}
 	r.at = now
 }
 
-func (r *arrivalRate) arrived(j *Job, now time.Time) {
-	if len(j.Shares) != 1 || j.Shares[0].Work == 0 || j.Shares[0].Work > shortWork {
-		return
-	}
-	r.decay(now)
-	r.count++
+// demand is what arrives at a service.
+type demand struct {
+	short   rate // short prompts
+	reading rate // seconds of reading of long prompts
 }
 
-func (r *arrivalRate) perSecond(now time.Time) float64 {
-	r.decay(now)
-	return r.count / rateMemory.Seconds()
+func (d *demand) arrived(j *Job, now time.Time) {
+	var work time.Duration
+	for _, s := range j.Shares {
+		work += s.Work
+	}
+	switch {
+	case work == 0:
+	case work <= shortWork:
+		d.short.add(1, now)
+	default:
+		d.reading.add(work.Seconds(), now)
+	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -98,7 +98,7 @@
 		call.LastEvent = j.seq.lastEvent()
 	}
 	j.log("attempt", zap.String("target", placed.Primary.ID), zap.String("domain", placed.Primary.Domain),
-		zap.Duration("predicted_wait", placed.Wait), zap.Int("helpers", len(held.helpers)),
+		zap.Duration("predicted_wait", placed.Wait), zap.Strings("helpers", held.ids()),
 		zap.Int("prompt_tokens", j.req.PromptTokens), zap.Duration("view_age", j.relay.cfg.Knowledge.Age()))
 	return j.relay.cfg.Transport.Send(ctx, call)
 }
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -46,7 +46,9 @@
 	reserveRounds int
 	begun         bool     // the caller has a part of the answer
 	seq           sequence // of events handed on
-	failure       *whole   // the newest answer of a target that failed
+	// longestPause is between two events handed on.
+	longestPause time.Duration
+	failure      *whole // the newest answer of a target that failed
 }
 
 // whole is an answer read in full.
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -29,6 +29,15 @@
 	done    func()
 }
 
+// ids names the helpers, for the log.
+func (h *holding) ids() []string {
+	out := make([]string, len(h.helpers))
+	for i, helper := range h.helpers {
+		out[i] = helper.Target.ID
+	}
+	return out
+}
+
 // release gives the memory back in the background.
 func (h *holding) release() {
 	if h.stop != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -20,6 +20,7 @@
 func (j *job) takeStream(ctx context.Context, placed *placement.Placement, answer *Answer, watchdog *watchdog) (step, Reason) {
 	events := newEventReader(answer.Body)
 	first := true
+	last := time.Now()
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -32,11 +33,15 @@
 		if err != nil {
 			return j.broken(ctx, placed, err)
 		}
+		now := time.Now()
 		if first {
 			first = false
 			placed.FirstEvent()
 			j.firstEvent(placed)
+		} else {
+			j.longestPause = max(j.longestPause, now.Sub(last))
 		}
+		last = now
 	}
 }
 
@@ -65,7 +70,7 @@
 		j.reply.Begin(answer.Status, answer.Header)
 	}
 	placed.End(placement.Served)
-	j.observe("done", placed, zap.String("last_event", j.seq.lastEvent()))
+	j.observe("done", placed, zap.String("last_event", j.seq.lastEvent()), zap.Duration("longest_pause", j.longestPause))
 	return finished
 }
 
