--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -106,7 +106,7 @@
 	}
 	n := float64(len(c.states))
 	c.shortRate = d.short.perSecond(now) / n
-	markReaders(c.states, d.reading.perSecond(now))
+	markReaders(c.states, c.engine.Slots, d.reading.perSecond(now), d.short.perSecond(now))
 	c.blocked = blockedShare + float64(blocked)/n
 	return c
 }
--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -7,7 +7,7 @@
 
 const (
 	// rateMemory is the time constant of arrival rates.
-	rateMemory = 3 * time.Second
+	rateMemory = 2 * time.Second
 	// shortWork is the reading up to which a prompt counts as short.
 	shortWork = 120 * time.Millisecond
 )
--- a/internal/placement/zones.go
+++ b/internal/placement/zones.go
@@ -14,7 +14,12 @@
 	// be expected to read.
 	readerLoad = 0.7
 	// maxReaders is the largest part of the engines that is kept for reading.
-	maxReaders = 0.65
+	maxReaders = 0.8
+	// writerFill is the part of the slots that streams should take up on the
+	// engines that are not kept for reading.
+	writerFill = 0.6
+	// streamTime is the expected duration of a short prompt's stream.
+	streamTime = 2 * time.Second
 	// backlogSpan is the time in which a backlog of long prompts should be read.
 	backlogSpan = 1500 * time.Millisecond
 	// writeOnReader is the cost of writing on an engine kept for reading, in
@@ -26,18 +31,23 @@
 )
 
 // markReaders keeps as many engines for reading parts of long prompts as the
-// present demand for it takes. All hosts go by one order of the engines, so
-// that their choices agree as far as their knowledge does.
-func markReaders(states []*engineState, demand float64) {
-	backlog := 0.0
+// present demand for it takes, but leaves enough for streams to write. All
+// hosts go by one order of the engines, so that their choices agree as far as
+// their knowledge does.
+func markReaders(states []*engineState, slots int, reading, shortRate float64) {
+	backlog, running := 0.0, 0.0
 	for _, st := range states {
 		backlog += st.backlog.Seconds()
+		running += float64(st.running)
 	}
-	wanted := int(math.Ceil((demand + backlog/backlogSpan.Seconds()/2) / readerLoad))
-	wanted = min(wanted, int(maxReaders*float64(len(states))))
+	wanted := math.Ceil((reading + backlog/backlogSpan.Seconds()/2) / readerLoad)
+	writing := max(running, shortRate*streamTime.Seconds())
+	writers := math.Ceil(writing / (writerFill * float64(max(slots, 1))))
+	n := float64(len(states))
+	keep := int(max(0, min(wanted, maxReaders*n, n-writers)))
 	ordered := slices.Clone(states)
 	slices.SortFunc(ordered, func(a, b *engineState) int { return cmp.Compare(rank(a), rank(b)) })
-	for _, st := range ordered[:wanted] {
+	for _, st := range ordered[:keep] {
 		st.reader = true
 	}
 }
