--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -16,6 +16,7 @@
 		ObjectiveMs: int32(j.Objective.Milliseconds()),
 		MaxPauseMs:  uint32(j.MaxPause.Milliseconds()),
 		Read:        j.Read,
+		Late:        j.Late,
 	}
 	for _, s := range j.Shares {
 		pb.Shares = append(pb.Shares, &peerspb.Share{
@@ -37,6 +38,7 @@
 		Objective: time.Duration(pb.GetObjectiveMs()) * time.Millisecond,
 		MaxPause:  time.Duration(pb.GetMaxPauseMs()) * time.Millisecond,
 		Read:      pb.GetRead(),
+		Late:      pb.GetLate(),
 	}
 	for _, s := range pb.GetShares() {
 		j.Shares = append(j.Shares, placement.Share{
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -27,6 +27,7 @@
 	local  map[JobID]*tracked
 	remote map[string]map[JobID]*tracked // by peer
 	demand demand
+	held   map[uint64]heldPrompt // by Need.Hold
 }
 
 // NewBoard returns an empty board that reads the time from now.
@@ -51,6 +52,7 @@
 			loads:  make(map[catalog.TargetKey]*load),
 			local:  make(map[JobID]*tracked),
 			remote: make(map[string]map[JobID]*tracked),
+			held:   make(map[uint64]heldPrompt),
 		}
 		b.shards[service] = s
 	}
@@ -76,6 +78,12 @@
 	Parts []Part
 	// Wait is the predicted time to the first event.
 	Wait time.Duration
+	// Late means that the first event is not expected in time, so that engines
+	// had better admit others first.
+	Late bool
+
+	long     bool          // more than one engine could share the reading
+	queueing time.Duration // part of Wait that is spent behind other reading
 
 	board *Board
 	shard *shard
@@ -84,7 +92,8 @@
 }
 
 // Place chooses among targets and counts the request there. It returns
-// ErrNoTarget if none of them may be tried.
+// ErrNoTarget if none of them may be tried, and ErrHold if the request should
+// be held.
 func (b *Board) Place(need Need, targets []catalog.Target) (*Placement, error) {
 	s := b.shard(need.Service)
 	now := b.now()
@@ -100,10 +109,13 @@
 		shares = p.choosePlain(candidates, now)
 	} else {
 		shares = p.choosePrompt(&need, candidates, &s.demand, now)
+		if need.Hold != 0 && p.long && s.mustWait(&need, need.Hold, need.Engine.ReadTime(need.PromptTokens), p.queueing, now) {
+			return nil, ErrHold
+		}
 	}
 	p.job = &tracked{at: now, Job: Job{
 		ID: JobID(b.lastID.Add(1)), Service: need.Service, Shares: shares, Weight: need.weight(),
-		Objective: need.Objective - need.Waited, MaxPause: need.MaxPause, Read: need.Engine == nil,
+		Objective: need.Objective - need.Waited, MaxPause: need.MaxPause, Read: need.Engine == nil, Late: p.Late,
 	}}
 	s.add(p.job, now)
 	s.local[p.job.ID] = p.job
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -68,6 +68,11 @@
 		}
 	}
 	p.Primary, p.Wait = best.engines[0].load.target, best.wait
+	p.Late = need.Waited+best.wait > need.Objective
+	p.long = !c.solo()
+	for _, st := range best.engines {
+		p.queueing = max(p.queueing, st.backlog)
+	}
 	reserved := reservation(need, len(best.engines))
 	shares := make([]Share, 0, len(best.engines))
 	for i, st := range best.engines {
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -21,7 +21,7 @@
 	tokens  int           // memory in use
 	writers []deadline    // streams, with their longest pause
 	readers []deadline    // prompts being read, with what is left of their objective
-	running int           // requests that take up a slot
+	running int           // requests that take up a slot or are admitted before others
 	penalty time.Duration
 	// reader marks an engine that is kept for reading parts of long prompts.
 	reader bool
@@ -38,7 +38,7 @@
 	context := 0
 	for t, s := range l.jobs {
 		st.tokens += s.Tokens
-		if s.Writes {
+		if s.Writes && (t.Read || !t.Late) {
 			st.running++
 		}
 		switch {
--- a/internal/placement/job.go
+++ b/internal/placement/job.go
@@ -26,6 +26,7 @@
 	Objective time.Duration // left when the job was placed
 	MaxPause  time.Duration
 	Read      bool // the first event has come
+	Late      bool // was not expected in time; others are admitted first
 }
 
 // Events are told of the jobs that this host places. Its methods are called
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -43,8 +43,21 @@
 	// LastEvent is the id of the last event that the caller has, empty for none.
 	LastEvent string
 	Helpers   []Helper
+	Urgency   Urgency
 }
 
+// Urgency says which requests an engine should admit first.
+type Urgency uint8
+
+const (
+	// UrgencyUnset leaves the order to the engine.
+	UrgencyUnset Urgency = iota
+	// UrgencyTimely is for requests that are expected in time.
+	UrgencyTimely
+	// UrgencyLate is for requests that will be late in any case.
+	UrgencyLate
+)
+
 // Helper is an engine that reads a part of the prompt.
 type Helper struct {
 	Target      catalog.Target
