Doubt only removals that happened while the store was away

Now only what the first answer after a failure removes is doubted, and that first watch does not wait. Ruled out: a late watch, the host learnt of the removal after 5 ms. Test: TestATargetRemovedAfterCatchingUpIsDroppedAtOnce failed first.

--- a/internal/follow/apply.go
+++ b/internal/follow/apply.go
@@ -14,37 +14,37 @@
 func (f *Follower) apply(listing Listing, sent time.Duration, complete bool) {
 	now := time.Now()
 	f.mu.Lock()
+	catchingUp := f.away
 	changed := f.config == nil
 	named := make(map[string]struct{}, len(listing.Changes))
 	for _, c := range listing.Changes {
 		named[c.TargetID] = struct{}{}
-		changed = f.applyChange(c, now) || changed
+		changed = f.applyChange(c, catchingUp, now) || changed
 	}
 	if complete {
-		changed = f.removeUnnamed(named, now) || changed
+		changed = f.removeUnnamed(named, catchingUp, now) || changed
 	}
 	f.revision = max(f.revision, listing.Revision)
 	if complete {
 		f.revision = listing.Revision
 	}
-	back := f.away
 	f.away = false
 	f.confirmed.Store(int64(sent))
 	f.publishLocked(changed)
 	f.mu.Unlock()
-	if back {
+	if catchingUp {
 		f.log.Info("store regained", zap.Int64("revision", int64(listing.Revision)))
 	}
 }
 
-func (f *Follower) applyChange(c Change, now time.Time) bool {
+func (f *Follower) applyChange(c Change, catchingUp bool, now time.Time) bool {
 	switch {
 	case c.Config != nil:
 		return f.adopt(c.Config, "store")
 	case c.TargetID == "":
 		return false
 	case c.Target == nil:
-		return f.remove(c.TargetID, c.Revision, now)
+		return f.remove(c.TargetID, c.Revision, catchingUp, now)
 	default:
 		return f.register(c, now)
 	}
@@ -75,14 +75,15 @@
 	return true
 }
 
-// remove drops a target, or doubts it when the store has just been away.
-func (f *Follower) remove(id string, revision Revision, now time.Time) bool {
+// remove drops a target. It doubts one that was removed while the store was
+// away: its registration may only have lapsed.
+func (f *Follower) remove(id string, revision Revision, catchingUp bool, now time.Time) bool {
 	e, known := f.entries[id]
 	if !known || revision < e.revision || !e.doubtedUntil.IsZero() {
 		return false
 	}
 	e.revision = revision
-	doubted := !f.failedAt.IsZero() && now.Sub(f.failedAt) < unsettled && !e.target.Leaving
+	doubted := catchingUp && !e.target.Leaving
 	f.log.Info("target no longer registered",
 		zap.String("target", id), zap.Bool("doubted", doubted), zap.Int64("revision", int64(revision)))
 	if doubted {
@@ -93,11 +94,11 @@
 	return true
 }
 
-func (f *Follower) removeUnnamed(named map[string]struct{}, now time.Time) bool {
+func (f *Follower) removeUnnamed(named map[string]struct{}, catchingUp bool, now time.Time) bool {
 	changed := false
 	for id, e := range f.entries {
 		if _, ok := named[id]; !ok {
-			changed = f.remove(id, e.revision, now) || changed
+			changed = f.remove(id, e.revision, catchingUp, now) || changed
 		}
 	}
 	return changed
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,6 +19,9 @@
 	// the view as of when it was sent, so two of them must fit in the time
 	// after which keys are no longer trusted.
 	watchWait = 1500 * time.Millisecond
+	// catchUpWait is the wait of the first watch after a failure: what it tells
+	// happened before it was sent.
+	catchUpWait = 5 * time.Millisecond
 	// answerTimeout is the time for an answer beyond the wait of a watch.
 	answerTimeout = 1200 * time.Millisecond
 	listTimeout   = 4 * time.Second
@@ -26,10 +29,8 @@
 	firstBackoff = 40 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
 
-	// unsettled is how long after a failed call removals are doubted: targets
-	// whose registration lapsed while the store was away come back.
-	unsettled = 3 * time.Second
-	// doubtFor is how long a doubted target is kept.
+	// doubtFor is how long a target is kept whose registration ended while the
+	// store was away: it comes back if it only lapsed.
 	doubtFor = 2200 * time.Millisecond
 	// doubtInterval is how often doubted targets are reviewed.
 	doubtInterval = 200 * time.Millisecond
@@ -59,8 +60,7 @@
 	entries   map[string]*entry
 	config    *catalog.Config
 	revision  Revision
-	failedAt  time.Time // of the newest failed call
-	away      bool      // the last call failed
+	away      bool // the last call failed
 	onChanged func(*View)
 }
 
@@ -124,7 +124,8 @@
 	for ctx.Err() == nil {
 		sent := f.since()
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+answerTimeout)
-		listing, err := f.source.Watch(callCtx, f.after(), watchWait)
+		after, patience := f.next()
+		listing, err := f.source.Watch(callCtx, after, patience)
 		cancel()
 		f.calls.Add(1)
 		switch {
@@ -132,7 +133,7 @@
 			f.apply(listing, sent, false)
 			wait = firstBackoff
 		case errors.Is(err, ErrHistoryGone):
-			f.log.Info("store dropped its history, listing everything", zap.Int64("revision", int64(f.after())))
+			f.log.Info("store dropped its history, listing everything", zap.Int64("revision", int64(after)))
 			return
 		default:
 			f.failed("watch", err)
@@ -142,10 +143,14 @@
 	}
 }
 
-func (f *Follower) after() Revision {
+// next returns where to watch from and for how long.
+func (f *Follower) next() (Revision, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision
+	if f.away {
+		return f.revision, catchUpWait
+	}
+	return f.revision, watchWait
 }
 
 func (f *Follower) failed(call string, err error) {
@@ -153,7 +158,6 @@
 	f.mu.Lock()
 	first := !f.away
 	f.away = true
-	f.failedAt = time.Now()
 	f.mu.Unlock()
 	if first {
 		f.log.Warn("store lost", zap.String("call", call), zap.Error(err), zap.Duration("view_age", f.Age()))
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,231 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/follow"
+)
+
+var errDown = errors.New("down")
+
+// store is a source in memory whose faults a test sets.
+type store struct {
+	mu       sync.Mutex
+	revision follow.Revision
+	changes  []follow.Change
+	oldest   follow.Revision // history begins after it
+	down     bool
+	cut      chan struct{} // closed to end waiting watches
+}
+
+func newStore() *store { return &store{cut: make(chan struct{})} }
+
+func (s *store) put(c follow.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	c.Revision = s.revision
+	s.changes = append(s.changes, c)
+	s.wakeLocked()
+}
+
+func (s *store) wakeLocked() {
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wakeLocked()
+}
+
+func (s *store) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = s.revision
+	s.wakeLocked()
+}
+
+func (s *store) List(context.Context) (follow.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return follow.Listing{}, errDown
+	}
+	newest := make(map[string]follow.Change)
+	for _, c := range s.changes {
+		key := c.TargetID
+		newest[key] = c
+		if key != "" && c.Target == nil {
+			delete(newest, key)
+		}
+	}
+	listing := follow.Listing{Revision: s.revision}
+	for _, c := range newest {
+		listing.Changes = append(listing.Changes, c)
+	}
+	return listing, nil
+}
+
+func (s *store) Watch(ctx context.Context, after follow.Revision, wait time.Duration) (follow.Listing, error) {
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		down, cut := s.down, s.cut
+		listing := follow.Listing{Revision: s.revision}
+		for _, c := range s.changes {
+			if c.Revision > after {
+				listing.Changes = append(listing.Changes, c)
+			}
+		}
+		gone := after < s.oldest
+		s.mu.Unlock()
+		switch {
+		case down:
+			return follow.Listing{}, errDown
+		case gone:
+			return follow.Listing{}, follow.ErrHistoryGone
+		case len(listing.Changes) > 0:
+			return listing, nil
+		}
+		select {
+		case <-ctx.Done():
+			return follow.Listing{}, ctx.Err()
+		case <-end:
+			return listing, nil
+		case <-cut:
+		}
+	}
+}
+
+func registration(id string, leaving bool) follow.Change {
+	return follow.Change{TargetID: id, Target: &catalog.Target{
+		TargetKey: catalog.TargetKey{ID: id, Born: 1}, Service: "llm", Addr: netip.MustParseAddrPort("192.0.2.1:80"), Leaving: leaving,
+	}}
+}
+
+func removal(id string) follow.Change { return follow.Change{TargetID: id} }
+
+func version(n int64) follow.Change {
+	return follow.Change{Config: catalog.NewConfig(n, catalog.Limits{}, nil, nil, nil)}
+}
+
+// play runs a follower of s in virtual time.
+func play(t *testing.T, test func(g *WithT, s *store, f *follow.Follower)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(version(7))
+		s.put(registration("a", false))
+		s.put(registration("b", false))
+		f := follow.New(s, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		test(NewWithT(t), s, f)
+	})
+}
+
+func targets(f *follow.Follower) []string {
+	var ids []string
+	for _, t := range f.View().Targets("llm") {
+		ids = append(ids, t.ID)
+	}
+	return ids
+}
+
+func TestWhatIsPublishedIsFollowed(t *testing.T) {
+	play(t, func(g *WithT, s *store, f *follow.Follower) {
+		g.Expect(f.View().Config.Version).To(BeEquivalentTo(7))
+		g.Expect(targets(f)).To(ConsistOf("a", "b"))
+		s.put(registration("a", true))
+		s.put(version(9))
+		synctest.Wait()
+		g.Expect(targets(f)).To(ConsistOf("b"), "a leaving target takes nothing new")
+		g.Expect(f.View().Config.Version).To(BeEquivalentTo(9))
+	})
+}
+
+func TestAnOlderConfigurationIsNeverInForceAgain(t *testing.T) {
+	play(t, func(g *WithT, s *store, f *follow.Follower) {
+		s.put(version(9))
+		s.put(version(8))
+		synctest.Wait()
+		g.Expect(f.View().Config.Version).To(BeEquivalentTo(9))
+	})
+}
+
+func TestATargetRemovedWhileTheStoreIsInTouchIsDroppedAtOnce(t *testing.T) {
+	play(t, func(g *WithT, s *store, f *follow.Follower) {
+		s.put(removal("a"))
+		synctest.Wait()
+		g.Expect(targets(f)).To(ConsistOf("b"))
+	})
+}
+
+// The store had turned this host away for a while. A target that leaves after
+// the host has caught up leaves for good.
+func TestATargetRemovedAfterCatchingUpIsDroppedAtOnce(t *testing.T) {
+	play(t, func(g *WithT, s *store, f *follow.Follower) {
+		s.setDown(true)
+		time.Sleep(3 * time.Second)
+		s.setDown(false)
+		time.Sleep(700 * time.Millisecond)
+		s.put(removal("a"))
+		synctest.Wait()
+		g.Expect(targets(f)).To(ConsistOf("b"))
+	})
+}
+
+func TestATargetThatLapsedWhileTheStoreWasAwayIsKeptForAWhile(t *testing.T) {
+	play(t, func(g *WithT, s *store, f *follow.Follower) {
+		s.setDown(true)
+		time.Sleep(3 * time.Second)
+		s.put(removal("a"))
+		s.put(removal("b"))
+		s.setDown(false)
+		time.Sleep(time.Second)
+		g.Expect(targets(f)).To(ConsistOf("a", "b"), "both may come back")
+		s.put(registration("b", false))
+		time.Sleep(2 * time.Second)
+		g.Expect(targets(f)).To(ConsistOf("b"), "a did not come back within two seconds")
+	})
+}
+
+func TestAfterDroppedHistoryEverythingIsListedAgain(t *testing.T) {
+	play(t, func(g *WithT, s *store, f *follow.Follower) {
+		s.mu.Lock()
+		s.changes = append(s.changes, follow.Change{Revision: s.revision + 1, TargetID: "a"})
+		s.revision++
+		s.mu.Unlock()
+		s.compact()
+		time.Sleep(50 * time.Millisecond)
+		g.Expect(targets(f)).To(ConsistOf("b"))
+	})
+}
+
+func TestTheAgeOfTheViewGrowsWhileNothingConfirmsIt(t *testing.T) {
+	play(t, func(g *WithT, s *store, f *follow.Follower) {
+		time.Sleep(20 * time.Second)
+		calls, failures := f.Stats()
+		g.Expect(failures).To(BeZero())
+		g.Expect(calls).To(BeNumerically("<=", 16), "one watch at a time, each as long as it may wait")
+		s.setDown(true)
+		time.Sleep(10 * time.Second)
+		_, failures = f.Stats()
+		g.Expect(failures).To(BeNumerically(">", 10))
+		g.Expect(f.View().Config.Version).To(BeEquivalentTo(7), "what was in force stays in force")
+	})
+}
