--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -18,6 +18,8 @@
 	// fullCost is added where an engine's memory is promised already, in weights
 	// of the new request.
 	fullCost = 1.0
+	// helpMargin is how many prompts below its limit an engine is asked to help with.
+	helpMargin = 3
 	// unblocked is the reading that a short prompt behind it bears.
 	unblocked = 150 * time.Millisecond
 	// waitCost breaks ties between choices that are all in time, in weights of
@@ -140,6 +142,9 @@
 	ranked := make([]rankedEngine, len(c.states))
 	for i, st := range c.states {
 		ranked[i] = c.rank(st, work)
+		if parts > 1 && st.helping+helpMargin >= c.engine.Slots {
+			ranked[i].total += fullCost * c.weight
+		}
 	}
 	slices.SortFunc(ranked, func(a, b rankedEngine) int { return compareFloat(a.total, b.total) })
 	chosen := ranked[:parts]
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -22,6 +22,7 @@
 	writers []deadline    // streams, with their longest pause
 	readers []deadline    // prompts being read, with what is left of their objective
 	running int           // requests that take up a slot or are admitted before others
+	helping int           // prompts of others that it reads parts of
 	penalty time.Duration
 	// reader marks an engine that is kept for reading parts of long prompts.
 	reader bool
@@ -41,6 +42,9 @@
 		if s.Writes && (t.Read || !t.Late) {
 			st.running++
 		}
+		if !t.Read && !s.Writes {
+			st.helping++
+		}
 		switch {
 		case t.Read && s.Writes:
 			st.writers = append(st.writers, deadline{t.Weight, t.MaxPause})
--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -10,6 +10,8 @@
 	rateMemory = 2 * time.Second
 	// shortWork is the reading up to which a prompt counts as short.
 	shortWork = 120 * time.Millisecond
+	// maxCounted bounds what one prompt adds to the demand for reading.
+	maxCounted = 4 * time.Second
 )
 
 // rate estimates an amount a second by exponentially decaying sums.
@@ -51,6 +53,6 @@
 	case work <= shortWork:
 		d.short.add(1, now)
 	default:
-		d.reading.add(work.Seconds(), now)
+		d.reading.add(min(work, maxCounted).Seconds(), now)
 	}
 }
