--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -80,7 +81,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "retry budget")
 	}
-	h := &Host{settings: settings, adapter: adapter, log: log, board: placement.NewBoard(time.Now), done: make(chan struct{})}
+	h := &Host{settings: settings, adapter: adapter, log: log, board: placement.NewBoard(time.Now, rand.Uint64()), done: make(chan struct{})}
 	h.follower = follow.New(adapter.Source, log)
 	h.follower.OnChanged(h.forgetTargets)
 	h.metrics = newMetrics(h.follower)
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -1,11 +1,14 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/plantainrun/plantainrun/internal/catalog"
 )
 
@@ -13,6 +16,7 @@
 // for concurrent use.
 type Board struct {
 	now    func() time.Time
+	seed   uint64
 	events Events
 	lastID atomic.Uint64
 
@@ -27,12 +31,13 @@
 	local  map[JobID]*tracked
 	remote map[string]map[JobID]*tracked // by peer
 	demand demand
-	held   map[uint64]heldPrompt // by Need.Hold
+	random *rand.Rand
 }
 
-// NewBoard returns an empty board that reads the time from now.
-func NewBoard(now func() time.Time) *Board {
-	return &Board{now: now, events: noEvents{}, shards: make(map[string]*shard)}
+// NewBoard returns an empty board that reads the time from now and breaks ties
+// at random from seed.
+func NewBoard(now func() time.Time, seed uint64) *Board {
+	return &Board{now: now, seed: seed, events: noEvents{}, shards: make(map[string]*shard)}
 }
 
 // Notify sets who is told of this host's jobs. Call it before Place.
@@ -52,7 +57,7 @@
 			loads:  make(map[catalog.TargetKey]*load),
 			local:  make(map[JobID]*tracked),
 			remote: make(map[string]map[JobID]*tracked),
-			held:   make(map[uint64]heldPrompt),
+			random: rand.New(rand.NewPCG(b.seed, xxhash.Sum64String(service))),
 		}
 		b.shards[service] = s
 	}
@@ -82,9 +87,6 @@
 	// had better admit others first.
 	Late bool
 
-	long     bool          // more than one engine could share the reading
-	queueing time.Duration // part of Wait that is spent behind other reading
-
 	board *Board
 	shard *shard
 	job   *tracked
@@ -92,8 +94,7 @@
 }
 
 // Place chooses among targets and counts the request there. It returns
-// ErrNoTarget if none of them may be tried, and ErrHold if the request should
-// be held.
+// ErrNoTarget if none of them may be tried.
 func (b *Board) Place(need Need, targets []catalog.Target) (*Placement, error) {
 	s := b.shard(need.Service)
 	now := b.now()
@@ -106,12 +107,10 @@
 	p := &Placement{board: b, shard: s}
 	var shares []Share
 	if need.Engine == nil {
-		shares = p.choosePlain(candidates, now)
+		shares = p.choosePlain(candidates, s.random, now)
 	} else {
+		s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 		shares = p.choosePrompt(&need, candidates, &s.demand, now)
-		if need.Hold != 0 && p.long && s.mustWait(&need, need.Hold, need.Engine.ReadTime(need.PromptTokens), p.queueing, now) {
-			return nil, ErrHold
-		}
 	}
 	p.job = &tracked{at: now, Job: Job{
 		ID: JobID(b.lastID.Add(1)), Service: need.Service, Shares: shares, Weight: need.weight(),
@@ -148,7 +147,7 @@
 func (s *shard) load(key catalog.TargetKey) *load {
 	l := s.loads[key]
 	if l == nil {
-		l = &load{target: catalog.Target{TargetKey: key}, jobs: make(map[*tracked]Share)}
+		l = &load{target: catalog.Target{TargetKey: key}}
 		s.loads[key] = l
 	}
 	return l
@@ -175,7 +174,7 @@
 		}
 		l.endReading(now)
 		if !share.Writes {
-			delete(l.jobs, t)
+			l.drop(t)
 		}
 	}
 }
@@ -184,7 +183,7 @@
 func (s *shard) remove(t *tracked, now time.Time) {
 	for _, share := range t.Shares {
 		if l := s.loads[share.Target]; l != nil {
-			delete(l.jobs, t)
+			l.drop(t)
 			l.endReading(now)
 		}
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -34,8 +34,8 @@
 var partCounts = []int{1, 2, 3, 4, 6, 8, 10, 12, 14, 16}
 
 // choosePlain takes the target with the fewest requests.
-func (p *Placement) choosePlain(candidates []*load, now time.Time) []Share {
-	start := rand.IntN(len(candidates))
+func (p *Placement) choosePlain(candidates []*load, random *rand.Rand, now time.Time) []Share {
+	start := random.IntN(len(candidates))
 	var best *load
 	var bestWait time.Duration
 	for i := range candidates {
@@ -71,10 +71,6 @@
 	}
 	p.Primary, p.Wait = best.engines[0].load.target, best.wait
 	p.Late = need.Waited+best.wait > need.Objective
-	p.long = !c.solo()
-	for _, st := range best.engines {
-		p.queueing = max(p.queueing, st.backlog)
-	}
 	reserved := reservation(need, len(best.engines))
 	shares := make([]Share, 0, len(best.engines))
 	for i, st := range best.engines {
@@ -102,7 +98,6 @@
 
 func newChooser(need *Need, candidates []*load, d *demand, now time.Time) *chooser {
 	c := &chooser{need: need, engine: need.Engine, weight: need.weight()}
-	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	blocked := 0
 	for _, l := range candidates {
 		st := newEngineState(l, need.Engine, now)
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -37,7 +37,8 @@
 func newEngineState(l *load, e *catalog.Engine, now time.Time) *engineState {
 	st := &engineState{load: l, backlog: l.backlog(now), penalty: l.penalty(now)}
 	context := 0
-	for t, s := range l.jobs {
+	for _, j := range l.jobs {
+		t, s := j.tracked, j.share
 		st.tokens += s.Tokens
 		if s.Writes && (t.Read || !t.Late) {
 			st.running++
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
@@ -23,10 +24,16 @@
 	misdirectPause = 5 * time.Second
 )
 
+// assigned is a job's share at a target.
+type assigned struct {
+	*tracked
+	share Share
+}
+
 // load is what one host knows of one target.
 type load struct {
 	target  catalog.Target
-	jobs    map[*tracked]Share
+	jobs    []assigned
 	readyAt time.Time // when the engine has read all that was sent to it
 
 	faults    float64 // share of faults among recent answers
@@ -37,7 +44,7 @@
 
 // add counts a job's share.
 func (l *load) add(t *tracked, s Share, now time.Time) {
-	l.jobs[t] = s
+	l.jobs = append(l.jobs, assigned{t, s})
 	if t.Read || s.Work == 0 {
 		return
 	}
@@ -47,12 +54,17 @@
 	l.readyAt = l.readyAt.Add(s.Work)
 }
 
+// drop forgets a job's share.
+func (l *load) drop(t *tracked) {
+	l.jobs = slices.DeleteFunc(l.jobs, func(j assigned) bool { return j.tracked == t })
+}
+
 // unread is the reading of all jobs but one that have no first event yet.
 func (l *load) unread(except *tracked) time.Duration {
 	var sum time.Duration
-	for t, s := range l.jobs {
-		if t != except && !t.Read {
-			sum += s.Work
+	for _, j := range l.jobs {
+		if j.tracked != except && !j.Read {
+			sum += j.share.Work
 		}
 	}
 	return time.Duration(behindShare * float64(sum))
@@ -61,9 +73,9 @@
 // endReading notes that a job has been read.
 func (l *load) endReading(now time.Time) {
 	var left time.Duration
-	for t, s := range l.jobs {
-		if !t.Read {
-			left += s.Work
+	for _, j := range l.jobs {
+		if !j.Read {
+			left += j.share.Work
 		}
 	}
 	if bound := now.Add(left); l.readyAt.After(bound) {
@@ -79,8 +91,8 @@
 // tokens is the memory of the jobs in progress.
 func (l *load) tokens() int {
 	sum := 0
-	for _, s := range l.jobs {
-		sum += s.Tokens
+	for _, j := range l.jobs {
+		sum += j.share.Tokens
 	}
 	return sum
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -25,8 +25,6 @@
 	MaxPause     time.Duration // between two events of a timely stream
 	Patience     time.Duration // after which the caller leaves
 	Waited       time.Duration // since the request's arrival
-	// Hold identifies a request that may be held; 0 places it at once.
-	Hold uint64
 	// Avoid lists targets that have been tried for this request.
 	Avoid []string
 }
--- a/internal/placement/zones.go
+++ b/internal/placement/zones.go
@@ -24,7 +24,7 @@
 	backlogSpan = 1500 * time.Millisecond
 	// writeOnReader is the cost of writing on an engine kept for reading, in
 	// weights of the request.
-	writeOnReader = 1.0
+	writeOnReader = 0.4
 	// readOnWriter is the cost of a second of reading on an engine that is not
 	// kept for it, in weights.
 	readOnWriter = 2.0
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -27,7 +27,7 @@
 	if !j.stillAllowed() {
 		return stuck, ReasonUnconfirmed
 	}
-	placed, reason := j.place(ctx)
+	placed, reason := j.place()
 	if placed == nil {
 		return stuck, reason
 	}
@@ -59,30 +59,17 @@
 	return known && org.Name == j.organisation && j.relay.trusted()
 }
 
-// place chooses targets. A long prompt is held here while the engines are busy
-// reading, so that shorter ones can pass it.
-func (j *job) place(ctx context.Context) (*placement.Placement, Reason) {
-	began := time.Now()
-	for {
-		targets := j.relay.cfg.Knowledge.View().Targets(j.serviceName)
-		need := j.need()
-		if len(targets) > 0 && !placement.Feasible(&need, len(targets)) {
-			return nil, ReasonHopeless
-		}
-		placed, err := j.relay.cfg.Board.Place(need, targets)
-		switch {
-		case err == nil:
-			j.held += time.Since(began)
-			return placed, ""
-		case !errors.Is(err, placement.ErrHold):
-			return nil, ReasonNoTarget
-		}
-		select {
-		case <-ctx.Done():
-			return nil, ReasonTooOld
-		case <-time.After(placement.HoldInterval):
-		}
+func (j *job) place() (*placement.Placement, Reason) {
+	targets := j.relay.cfg.Knowledge.View().Targets(j.serviceName)
+	need := j.need()
+	if len(targets) > 0 && !placement.Feasible(&need, len(targets)) {
+		return nil, ReasonHopeless
+	}
+	placed, err := j.relay.cfg.Board.Place(need, targets)
+	if err != nil {
+		return nil, ReasonNoTarget
 	}
+	return placed, ""
 }
 
 // patience is how long an attempt may go without a sign of progress.
@@ -114,7 +101,7 @@
 		call.LastEvent = j.seq.lastEvent()
 	}
 	j.log("attempt", zap.String("target", placed.Primary.ID), zap.String("domain", placed.Primary.Domain),
-		zap.Duration("predicted_wait", placed.Wait), zap.Duration("held", j.held), zap.Bool("late", placed.Late), zap.Strings("helpers", held.ids()),
+		zap.Duration("predicted_wait", placed.Wait), zap.Bool("late", placed.Late), zap.Strings("helpers", held.ids()),
 		zap.Int("prompt_tokens", j.req.PromptTokens), zap.Duration("view_age", j.relay.cfg.Knowledge.Age()))
 	return j.relay.cfg.Transport.Send(ctx, call)
 }
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -38,16 +38,14 @@
 	keyed        bool
 	deadline     time.Time
 
-	serial   uint64   // unique at this host
 	sends    int      // attempts made
 	arrivals int      // attempts that may have reached a target
 	runs     int      // attempts that may have run
 	avoid    []string // targets tried
 	// reserveRounds counts the rounds in which memory could not be reserved.
 	reserveRounds int
-	begun         bool          // the caller has a part of the answer
-	seq           sequence      // of events handed on
-	held          time.Duration // while engines were busy
+	begun         bool     // the caller has a part of the answer
+	seq           sequence // of events handed on
 	// longestPause is between two events handed on.
 	longestPause time.Duration
 	failure      *whole // the newest answer of a target that failed
@@ -162,7 +160,6 @@
 		Service: j.serviceName, Engine: j.service.Engine, PromptTokens: j.req.PromptTokens,
 		Objective: j.route.Objective, MaxPause: j.route.MaxPause, Patience: j.route.Patience(),
 		Waited: time.Since(j.req.Arrived), Avoid: j.avoid,
-		Hold: j.serial,
 	}
 	n.OutputTokens = hintFloor + int(hintFactor*float64(j.req.OutputHint))
 	if j.req.OutputLimit > 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -71,7 +71,6 @@
 	settings  atomic.Pointer[Settings]
 	draining  atomic.Bool
 	active    atomic.Int64
-	serials   atomic.Uint64
 	crashes   *crashes
 	releasing releases
 }
@@ -125,7 +124,7 @@
 	if !found {
 		return nil, ifTrusted(trusted, ReasonNoRoute)
 	}
-	j := &job{relay: r, req: req, route: route, serial: r.serials.Add(1)}
+	j := &job{relay: r, req: req, route: route}
 	if view.Config.Keyed() && !route.Public {
 		org, known := view.Config.Organisation(req.Key)
 		if !known {
--- /dev/null
+++ b/internal/standin/passmodel/passmodel_test.go
@@ -0,0 +1,79 @@
+package passmodel_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/standin/passmodel"
+)
+
+// figures are those that both users publish.
+var figures = catalog.Engine{
+	Slots: 16, MemoryTokens: 232000, Step: 1020 * time.Microsecond, StepPerSeq: 2260 * time.Nanosecond,
+	StepPerKilo: 4310 * time.Nanosecond, ReadPerSecond: 206000, PairsPerM: 138 * time.Microsecond, Stride: 43,
+}
+
+type trace struct{ events []time.Duration }
+
+func (tr *trace) request(prompt, events int) *passmodel.Request {
+	return &passmodel.Request{Prompt: prompt, Events: events, OnEvent: func(_ int, now time.Duration) { tr.events = append(tr.events, now) }}
+}
+
+func TestAPromptIsReadInThePublishedTime(t *testing.T) {
+	for _, tokens := range []int{5000, 45000, 133000} {
+		g := NewWithT(t)
+		fleet := passmodel.NewFleet(figures, 1)
+		var tr trace
+		fleet.Submit(tr.request(tokens, 1), []int{0})
+		fleet.Advance(time.Minute)
+		g.Expect(tr.events).To(HaveLen(1))
+		read := figures.ReadTime(tokens)
+		pass := time.Duration(figures.Stride+tokens/2048+2) * 2 * figures.Step
+		g.Expect(tr.events[0]).To(BeNumerically("~", read+pass/2, pass/2+read/20), "%d tokens", tokens)
+	}
+}
+
+func TestEnginesThatShareAPromptReadItFaster(t *testing.T) {
+	g := NewWithT(t)
+	first := func(engines ...int) time.Duration {
+		fleet := passmodel.NewFleet(figures, 4)
+		var tr trace
+		fleet.Submit(tr.request(133000, 1), engines)
+		fleet.Advance(time.Minute)
+		return tr.events[0]
+	}
+	g.Expect(first(0, 1, 2, 3)).To(BeNumerically("<", first(0)*35/100))
+}
+
+func TestALongReadDelaysTheEventsBesideIt(t *testing.T) {
+	g := NewWithT(t)
+	fleet := passmodel.NewFleet(figures, 1)
+	var short, long trace
+	fleet.Submit(short.request(5000, 20), []int{0})
+	fleet.Advance(200 * time.Millisecond)
+	fleet.Submit(long.request(133000, 1), []int{0})
+	fleet.Advance(time.Minute)
+	longest := time.Duration(0)
+	for i := 1; i < len(short.events); i++ {
+		longest = max(longest, short.events[i]-short.events[i-1])
+	}
+	g.Expect(longest).To(BeNumerically(">", time.Second))
+}
+
+func TestTheMoreUrgentIsAdmittedFirst(t *testing.T) {
+	g := NewWithT(t)
+	one := figures
+	one.Slots = 1
+	fleet := passmodel.NewFleet(one, 1)
+	var running, late, urgent trace
+	fleet.Submit(running.request(5000, 5), []int{0})
+	lateRequest := late.request(5000, 1)
+	lateRequest.Urgency = 8
+	fleet.Submit(lateRequest, []int{0})
+	fleet.Submit(urgent.request(5000, 1), []int{0})
+	fleet.Advance(time.Minute)
+	g.Expect(urgent.events[0]).To(BeNumerically("<", late.events[0]))
+}
