--- a/internal/placement/zones.go
+++ b/internal/placement/zones.go
@@ -17,7 +17,7 @@
 	maxReaders = 0.8
 	// writerFill is the part of the slots that streams should take up on the
 	// engines that are not kept for reading.
-	writerFill = 0.6
+	writerFill = 0.75
 	// streamTime is the expected duration of a short prompt's stream.
 	streamTime = 2 * time.Second
 	// backlogSpan is the time in which a backlog of long prompts should be read.
@@ -27,7 +27,7 @@
 	writeOnReader = 0.4
 	// readOnWriter is the cost of a second of reading on an engine that is not
 	// kept for it, in weights.
-	readOnWriter = 2.0
+	readOnWriter = 1.0
 )
 
 // markReaders keeps as many engines for reading parts of long prompts as the
