Test the relay and placing without a network; avoid domains that are cut off

Two unreachable targets of a domain, with no sign of life since, now speak for all its targets; missing the caller's patience costs a whole weight. A prompt that needs more engines than are left is not placed.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -101,7 +101,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	candidates := s.candidates(need, targets, now)
-	if len(candidates) == 0 {
+	if len(candidates) == 0 || len(candidates) < minParts(&need) {
 		return nil, ErrNoTarget
 	}
 	p := &Placement{board: b, shard: s}
@@ -122,17 +122,18 @@
 	return p, nil
 }
 
-// candidates returns the targets that may be tried. Shunned ones count only if
-// there are no others.
+// candidates returns the targets that may be tried. Shunned ones, and those of
+// failure domains that are cut off, count only if there are no others.
 func (s *shard) candidates(need Need, targets []catalog.Target, now time.Time) []*load {
 	var good, shunned []*load
+	cut := s.cutDomains(now)
 	for _, t := range targets {
 		if slices.Contains(need.Avoid, t.ID) {
 			continue
 		}
 		l := s.load(t.TargetKey)
 		l.target = t
-		if l.shunned(now) {
+		if l.shunned(now) || cut[t.Domain] {
 			shunned = append(shunned, l)
 		} else {
 			good = append(good, l)
@@ -220,7 +221,11 @@
 	if p.ended || p.job.Read {
 		return
 	}
-	p.shard.read(p.job, p.board.now())
+	now := p.board.now()
+	p.shard.read(p.job, now)
+	if l := p.shard.loads[p.Primary.TargetKey]; l != nil {
+		l.aliveAt = now
+	}
 	p.board.events.Read(p.job.ID)
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -198,7 +198,7 @@
 	total := c.need.Waited + wait
 	cost := late(total, c.need.Objective) + waitCost*float64(total)/float64(max(c.need.Objective, time.Millisecond))
 	if c.need.Patience > 0 {
-		cost += late(total, c.need.Patience) / 2
+		cost += late(total, c.need.Patience)
 	}
 	return c.weight * cost
 }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -40,6 +40,8 @@
 	faultsAt  time.Time
 	shunUntil time.Time
 	shunFor   time.Duration // of the next shunning
+	failedAt  time.Time     // when it was unreachable
+	aliveAt   time.Time     // when it answered
 }
 
 // add counts a job's share.
@@ -115,8 +117,10 @@
 	switch r {
 	case Served:
 		l.shunFor = 0
+		l.aliveAt = now
 	case Shed:
 		l.shunUntil = now.Add(shedPause)
+		l.aliveAt = now
 		fault = 0.5
 	case Misdirected:
 		l.shunUntil = now.Add(misdirectPause)
@@ -124,6 +128,7 @@
 	case Unreachable:
 		l.shunFor = min(max(2*l.shunFor, firstShunning), maxShunning)
 		l.shunUntil = now.Add(l.shunFor)
+		l.failedAt = now
 		fault = 1
 	case Faulty:
 		fault = 1
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -235,7 +235,7 @@
 	}
 	targets := w.targets
 	if w.blind {
-		targets = []catalog.Target{w.targets[w.random.IntN(len(w.targets))]}
+		targets = w.drawTargets(&need)
 	}
 	placed, err := w.boards[r.host].Place(need, targets)
 	if err != nil {
@@ -250,6 +250,17 @@
 	return placed, engines
 }
 
+// drawTargets draws one engine, or eight for a prompt too large for one.
+func (w *world) drawTargets(need *placement.Need) []catalog.Target {
+	count := 1
+	if placement.NeedsReservations(need) {
+		count = 8
+	}
+	drawn := slices.Clone(w.targets)
+	w.random.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	return drawn[:count]
+}
+
 // The users' ordinary day: 95 in 100 short prompts get their first event
 // within 0.42 s, the target of first tokens.
 func TestShortPromptsAreInTimeOnAnOrdinaryDay(t *testing.T) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -66,7 +66,10 @@
 		return nil, ReasonHopeless
 	}
 	placed, err := j.relay.cfg.Board.Place(need, targets)
-	if err != nil {
+	switch {
+	case err != nil && j.reserveRounds > 0:
+		return nil, ReasonNoMemory
+	case err != nil:
 		return nil, ReasonNoTarget
 	}
 	return placed, ""
