Pass news on within a failure domain, and share the watches of the store

A host now tells one host of each large domain, which tells the others there; in a domain of more than four, two hosts watch the store and the others ask them, with ages that count from the question. A host that the store turns away asks as well.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -82,13 +82,13 @@
 		return nil, eris.Wrap(err, "retry budget")
 	}
 	h := &Host{settings: settings, adapter: adapter, log: log, board: placement.NewBoard(time.Now, rand.Uint64()), done: make(chan struct{})}
-	h.follower = follow.New(adapter.Source, log)
-	h.follower.OnChanged(h.forgetTargets)
-	h.metrics = newMetrics(h.follower)
 	h.peers = peers.New(peers.Config{
 		HostID: settings.HostID, Domain: settings.Domain, Addr: settings.PeersAddr, Seeds: settings.Seeds, Board: h.board, Log: log,
 	})
 	h.board.Notify(h.peers)
+	h.follower = follow.New(follow.NewShared(adapter.Source, h.peers), log)
+	h.follower.OnChanged(h.forgetTargets)
+	h.metrics = newMetrics(h.follower)
 	h.relay = relay.New(relay.Config{
 		Knowledge: h.follower,
 		Board:     h.board,
@@ -100,7 +100,7 @@
 		Settings:  relaySettings(settings),
 		Name:      settings.HostID,
 	})
-	h.peers.SetCrashes(h.relay)
+	h.peers.Connect(h.relay, h.follower)
 	return h, h.listeners()
 }
 
--- a/internal/follow/apply.go
+++ b/internal/follow/apply.go
@@ -29,7 +29,8 @@
 		f.revision = listing.Revision
 	}
 	f.away = false
-	f.confirmed.Store(int64(sent))
+	f.confirmed.Store(max(f.confirmed.Load(), int64(sent-listing.Age)))
+	f.history.record(listing, complete)
 	f.publishLocked(changed)
 	f.mu.Unlock()
 	if catchingUp {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -62,12 +62,14 @@
 	revision  Revision
 	away      bool // the last call failed
 	onChanged func(*View)
+	history   history
 }
 
 // New returns a Follower of source. Run starts it.
 func New(source Source, log *zap.Logger) *Follower {
 	f := &Follower{source: source, log: log, since: clock.SinceBoot, entries: make(map[string]*entry)}
 	f.view.Store(newView(nil, 0, nil))
+	f.history.changed = make(chan struct{})
 	return f
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -79,6 +79,10 @@
 	return listing, nil
 }
 
+func (s *store) Decode(e follow.Entry) follow.Change {
+	return follow.Change{Entry: e, Revision: e.Revision}
+}
+
 func (s *store) Watch(ctx context.Context, after follow.Revision, wait time.Duration) (follow.Listing, error) {
 	end := time.After(wait)
 	for {
--- /dev/null
+++ b/internal/follow/history.go
@@ -0,0 +1,71 @@
+package follow
+
+// maxHistory is how many changes are kept for other hosts.
+const maxHistory = 512
+
+// history is the newest changes, for hosts that do not read the store
+// themselves.
+type history struct {
+	entries []Entry
+	from    Revision      // changes after this revision are complete
+	changed chan struct{} // closed at the next change
+}
+
+// record adds an answer of the source.
+func (h *history) record(listing Listing, complete bool) {
+	if complete {
+		h.entries = nil
+		h.from = listing.Revision
+		return
+	}
+	for _, c := range listing.Changes {
+		h.entries = append(h.entries, c.Entry)
+	}
+	if extra := len(h.entries) - maxHistory; extra > 0 {
+		h.from = h.entries[extra-1].Revision
+		h.entries = append([]Entry(nil), h.entries[extra:]...)
+	}
+	if len(listing.Changes) > 0 {
+		close(h.changed)
+		h.changed = make(chan struct{})
+	}
+}
+
+// since returns the changes after a revision, or false if some are not known.
+func (h *history) since(after Revision) ([]Entry, bool) {
+	if after < h.from {
+		return nil, false
+	}
+	for i, e := range h.entries {
+		if e.Revision > after {
+			return append([]Entry(nil), h.entries[i:]...), true
+		}
+	}
+	return nil, true
+}
+
+// Passed is what a host passes on of the store.
+type Passed struct {
+	Entries  []Entry
+	Revision Revision
+	Age      int64 // of the view, in milliseconds
+}
+
+// Since returns the changes after a revision with the age of the view, or false
+// if this host does not know them all.
+func (f *Follower) Since(after Revision) (Passed, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entries, ok := f.history.since(after)
+	if !ok || f.revision < after {
+		return Passed{}, false
+	}
+	return Passed{Entries: entries, Revision: f.revision, Age: f.Age().Milliseconds() + 1}, true
+}
+
+// Changed is closed at the next change.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.history.changed
+}
--- /dev/null
+++ b/internal/follow/shared.go
@@ -0,0 +1,103 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+const (
+	// maxPassedAge is how old the view of another host may be to be of use.
+	maxPassedAge = 2 * time.Second
+	// passedWait is how long another host may wait for a change.
+	passedWait = 400 * time.Millisecond
+	// directTimeout is the time for the store's answer beyond the wait of a watch.
+	directTimeout = 700 * time.Millisecond
+	// failureMemory is how long after a failed call other hosts are asked first.
+	failureMemory = time.Second
+)
+
+// ErrNoPeer means that no other host can answer.
+var ErrNoPeer = errors.New("no other host can tell what is published: read the store")
+
+// errTooOld means that the other host's own view is too old.
+var errTooOld = errors.New("the other host has not heard of the store lately")
+
+// Peers are the other hosts.
+type Peers interface {
+	// Reads reports whether this host is one of those that read the store.
+	Reads() bool
+	// Ask asks another host for the changes after a revision. It returns
+	// ErrNoPeer, or the context's error.
+	Ask(ctx context.Context, after Revision, wait time.Duration) (Passed, error)
+}
+
+// Shared is a Source for which only some hosts watch the store. The others ask
+// these, and read the store themselves when nobody answers; hosts that the
+// store turns away ask as well.
+type Shared struct {
+	Source
+	peers Peers
+
+	mu       sync.Mutex
+	failedAt time.Time // of the newest failed call to the store
+}
+
+// NewShared returns a source that shares the watches of direct among peers.
+func NewShared(direct Source, peers Peers) *Shared { return &Shared{Source: direct, peers: peers} }
+
+// Watch returns the changes after a revision from the store or another host.
+func (s *Shared) Watch(ctx context.Context, after Revision, wait time.Duration) (Listing, error) {
+	began := time.Now()
+	if !s.peers.Reads() || s.failedLately() {
+		if listing, err := s.ask(ctx, began, after, wait); err == nil {
+			return listing, nil
+		}
+	}
+	listing, err := s.direct(ctx, after, wait)
+	if err == nil || errors.Is(err, ErrHistoryGone) {
+		return listing, err
+	}
+	if passed, askErr := s.ask(ctx, began, after, wait); askErr == nil {
+		return passed, nil
+	}
+	return listing, err
+}
+
+// direct watches the store, with time left to ask another host afterwards.
+func (s *Shared) direct(ctx context.Context, after Revision, wait time.Duration) (Listing, error) {
+	callCtx, cancel := context.WithTimeout(ctx, wait+directTimeout)
+	defer cancel()
+	listing, err := s.Source.Watch(callCtx, after, wait)
+	if err != nil && !errors.Is(err, ErrHistoryGone) {
+		s.mu.Lock()
+		s.failedAt = time.Now()
+		s.mu.Unlock()
+	}
+	return listing, err
+}
+
+func (s *Shared) failedLately() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.failedAt.IsZero() && time.Since(s.failedAt) < failureMemory
+}
+
+// ask asks another host. The age of the answer counts from began.
+func (s *Shared) ask(ctx context.Context, began time.Time, after Revision, wait time.Duration) (Listing, error) {
+	late := time.Since(began)
+	passed, err := s.peers.Ask(ctx, after, min(wait, passedWait))
+	if err != nil {
+		return Listing{}, err
+	}
+	age := time.Duration(passed.Age) * time.Millisecond
+	if age > maxPassedAge {
+		return Listing{}, errTooOld
+	}
+	listing := Listing{Revision: passed.Revision, Age: age - late}
+	for _, e := range passed.Entries {
+		listing.Changes = append(listing.Changes, s.Decode(e))
+	}
+	return listing, nil
+}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -20,9 +20,19 @@
 // the changes since the given revision; list everything again.
 var ErrHistoryGone = errors.New("the store has dropped the history asked for: list everything again")
 
+// Entry is one change as it is stored. Only a Source can read it; hosts pass
+// it on to each other.
+type Entry struct {
+	Key      string
+	Value    []byte
+	Revision Revision
+	Removed  bool
+}
+
 // Change is one change of the store. Exactly one of Config and TargetID is set;
 // a change that cannot be read carries neither.
 type Change struct {
+	Entry    Entry
 	Revision Revision
 	Config   *catalog.Config
 	TargetID string
@@ -34,6 +44,8 @@
 type Listing struct {
 	Revision Revision // watch from here
 	Changes  []Change
+	// Age is how old the answer was when it was given; 0 from the store itself.
+	Age time.Duration
 }
 
 // Source reads the store. Its methods return when ctx ends at the latest.
@@ -42,4 +54,6 @@
 	List(ctx context.Context) (Listing, error)
 	// Watch returns the changes after a revision, or none after wait.
 	Watch(ctx context.Context, after Revision, wait time.Duration) (Listing, error)
+	// Decode reads an entry that another host has passed on.
+	Decode(Entry) Change
 }
--- a/internal/peers/accept.go
+++ b/internal/peers/accept.go
@@ -49,39 +49,51 @@
 	if err != nil {
 		return // closed before it said anything
 	}
-	host, serial, err := s.receive(stream)
+	host, serial, passOn, err := s.receive(stream)
 	if host == "" {
 		s.cfg.Log.Warn("connection of a peer refused", zap.Error(err))
 		return
 	}
 	if s.closeInbound(host, serial) {
 		s.cfg.Board.ForgetHost(host)
+		s.forgetRelayed(host)
+		if passOn {
+			s.passOn(&peerspb.Relayed{Origin: host, Lost: true})
+		}
 		s.cfg.Log.Info("peer lost", zap.String("peer", host), zap.Error(err))
 	}
 }
 
 // receive applies a peer's messages until the connection fails or falls silent.
-func (s *Service) receive(stream net.Conn) (host string, serial uint64, err error) {
+func (s *Service) receive(stream net.Conn) (host string, serial uint64, passOn bool, err error) {
 	reader := bufio.NewReader(stream)
 	opts := protodelim.UnmarshalOptions{MaxSize: maxMessage}
 	var from *peerspb.Host
 	for {
 		if err := stream.SetReadDeadline(time.Now().Add(heartbeatTimeout)); err != nil {
-			return host, serial, err
+			return host, serial, passOn, err
 		}
 		news := &peerspb.News{}
 		if err := opts.UnmarshalFrom(reader, news); err != nil {
-			return host, serial, err
+			return host, serial, passOn, err
 		}
-		if from == nil {
+		first := from == nil
+		if first {
 			if from = news.GetFrom(); from.GetId() == "" {
-				return "", 0, errNoHello
+				return "", 0, false, errNoHello
 			}
 			host = from.GetId()
 			serial = s.openInbound(host)
+			passOn = news.GetPassOn()
 		}
 		s.hosts.heard(from, time.Now())
-		s.apply(host, news)
+		s.apply(from, news)
+		if !passOn {
+			continue
+		}
+		if r := relayed(host, news, first); r != nil {
+			s.passOn(r)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/peers/asking.go
@@ -0,0 +1,166 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/follow"
+	"github.com/plantainrun/plantainrun/internal/peers/peerspb"
+)
+
+const (
+	// allRead is the size of a failure domain up to which every host watches
+	// the store itself.
+	allRead = 4
+	// readersPerDomain is how many hosts of a larger one do.
+	readersPerDomain = 2
+	// answerTimeout is the time for a peer's answer beyond the wait it may take.
+	answerTimeout = 300 * time.Millisecond
+	// maxWaiting bounds the questions that wait for a change at a time.
+	maxWaiting = 256
+)
+
+// Published is what this host knows of the store.
+type Published interface {
+	// Since returns the changes after a revision, or false if some are unknown.
+	Since(after follow.Revision) (follow.Passed, bool)
+	// Changed is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// questions are the Asks that wait for an answer.
+type questions struct {
+	mu      sync.Mutex
+	last    uint64
+	waiting map[uint64]chan *peerspb.Passed
+}
+
+func (q *questions) open() (uint64, chan *peerspb.Passed) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.last++
+	answer := make(chan *peerspb.Passed, 1)
+	q.waiting[q.last] = answer
+	return q.last, answer
+}
+
+func (q *questions) close(nonce uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.waiting, nonce)
+}
+
+func (q *questions) answer(p *peerspb.Passed) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if answer, ok := q.waiting[p.GetNonce()]; ok {
+		answer <- p
+		delete(q.waiting, p.GetNonce())
+	}
+}
+
+// Reads reports whether this host is one that watches the store.
+func (s *Service) Reads() bool {
+	return slices.Contains(s.hosts.readers(time.Now()), s.cfg.Addr)
+}
+
+// Ask asks a host that watches the store. It implements follow.Peers.
+func (s *Service) Ask(ctx context.Context, after follow.Revision, wait time.Duration) (follow.Passed, error) {
+	l := s.askable()
+	if l == nil {
+		return follow.Passed{}, follow.ErrNoPeer
+	}
+	nonce, answer := s.questions.open()
+	defer s.questions.close(nonce)
+	ask := &peerspb.Ask{Nonce: nonce, After: int64(after), WaitMs: uint32(wait.Milliseconds())}
+	l.queue(func(n *peerspb.News) { n.Ask = append(n.Ask, ask) })
+	select {
+	case <-ctx.Done():
+		return follow.Passed{}, ctx.Err()
+	case <-time.After(wait + answerTimeout):
+		s.hosts.setReachable(l.addr, false, time.Now())
+		return follow.Passed{}, follow.ErrNoPeer
+	case p := <-answer:
+		if !p.GetKnown() {
+			return follow.Passed{}, follow.ErrNoPeer
+		}
+		return decodePassed(p), nil
+	}
+}
+
+// askable returns a link to a host to ask, one that watches the store if there is one.
+func (s *Service) askable() *link {
+	var links []*link
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, addr := range s.hosts.readers(time.Now()) {
+		if l := s.links[addr]; l != nil && l.isUp() {
+			links = append(links, l)
+		}
+	}
+	if len(links) == 0 {
+		return nil
+	}
+	return links[rand.IntN(len(links))]
+}
+
+// serveAsk answers a peer once there is a change, or after its wait.
+func (s *Service) serveAsk(from netip.AddrPort, ask *peerspb.Ask) {
+	if s.serving.Add(1) > maxWaiting {
+		s.serving.Add(-1)
+		s.pass(from, &peerspb.Passed{Nonce: ask.GetNonce()})
+		return
+	}
+	go func() {
+		defer s.serving.Add(-1)
+		s.pass(from, s.passed(ask))
+	}()
+}
+
+func (s *Service) passed(ask *peerspb.Ask) *peerspb.Passed {
+	end := time.After(time.Duration(ask.GetWaitMs()) * time.Millisecond)
+	for {
+		changed := s.published.Changed()
+		p, known := s.published.Since(follow.Revision(ask.GetAfter()))
+		if !known || len(p.Entries) > 0 {
+			return encodePassed(ask.GetNonce(), known, p)
+		}
+		select {
+		case <-changed:
+		case <-end:
+			p, known = s.published.Since(follow.Revision(ask.GetAfter()))
+			return encodePassed(ask.GetNonce(), known, p)
+		}
+	}
+}
+
+func (s *Service) pass(to netip.AddrPort, p *peerspb.Passed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.links[to]; l != nil {
+		l.queue(func(n *peerspb.News) { n.Passed = append(n.Passed, p) })
+	}
+}
+
+func encodePassed(nonce uint64, known bool, p follow.Passed) *peerspb.Passed {
+	out := &peerspb.Passed{Nonce: nonce, Known: known, Revision: int64(p.Revision), AgeMs: uint32(min(p.Age, maxAgeMillis))}
+	for _, e := range p.Entries {
+		out.Entries = append(out.Entries, &peerspb.Entry{Key: e.Key, Value: e.Value, Revision: int64(e.Revision), Removed: e.Removed})
+	}
+	return out
+}
+
+// maxAgeMillis bounds an age on the wire.
+const maxAgeMillis = 1 << 31
+
+func decodePassed(p *peerspb.Passed) follow.Passed {
+	out := follow.Passed{Revision: follow.Revision(p.GetRevision()), Age: int64(p.GetAgeMs())}
+	for _, e := range p.GetEntries() {
+		out.Entries = append(out.Entries, follow.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: follow.Revision(e.GetRevision()), Removed: e.GetRemoved()})
+	}
+	return out
+}
--- a/internal/peers/hosts.go
+++ b/internal/peers/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -12,60 +13,84 @@
 
 // hostTable remembers the hosts that were heard of. It is safe for concurrent use.
 type hostTable struct {
-	self  netip.AddrPort
-	seeds []netip.AddrPort
+	self   netip.AddrPort
+	domain string
+	seeds  []netip.AddrPort
 
 	mu    sync.Mutex
 	hosts map[netip.AddrPort]*hostEntry
 }
 
 type hostEntry struct {
-	host    *peerspb.Host
-	heardAt time.Time // directly
-	namedAt time.Time // by anyone
+	addr     netip.AddrPort
+	host     *peerspb.Host
+	heardAt  time.Time // by anyone
+	newAt    time.Time // when this host heard of it first
+	failedAt time.Time // when no connection came up, or one was lost
 }
 
-func newHostTable(self netip.AddrPort, seeds []netip.AddrPort) *hostTable {
-	return &hostTable{self: self, seeds: seeds, hosts: make(map[netip.AddrPort]*hostEntry)}
+// failureMemory is how long a host without a connection is passed over.
+const failureMemory = 8 * time.Second
+
+func newHostTable(self netip.AddrPort, domain string, seeds []netip.AddrPort) *hostTable {
+	return &hostTable{self: self, domain: domain, seeds: seeds, hosts: make(map[netip.AddrPort]*hostEntry)}
 }
 
 // heard notes a message of a host itself.
-func (t *hostTable) heard(h *peerspb.Host, now time.Time) {
-	if e := t.note(h, now); e != nil {
-		t.mu.Lock()
-		e.heardAt = now
-		t.mu.Unlock()
-	}
-}
+func (t *hostTable) heard(h *peerspb.Host, now time.Time) { t.note(h, now, now) }
 
 // mention notes that a peer knows a host.
-func (t *hostTable) mention(h *peerspb.Host, now time.Time) { t.note(h, now) }
+func (t *hostTable) mention(h *peerspb.Host, now time.Time) {
+	t.note(h, now.Add(-time.Duration(h.GetQuietMs())*time.Millisecond), now)
+}
 
-func (t *hostTable) note(h *peerspb.Host, now time.Time) *hostEntry {
+func (t *hostTable) note(h *peerspb.Host, heardAt, now time.Time) {
 	addr, err := netip.ParseAddrPort(h.GetAddr())
-	if err != nil || addr == t.self {
-		return nil // no peer that could be dialled
+	if err != nil || addr == t.self || now.Sub(heardAt) > forgetAfter {
+		return // no peer that could be dialled
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.hosts[addr]
 	if e == nil {
-		e = &hostEntry{}
+		e = &hostEntry{addr: addr, newAt: now}
 		t.hosts[addr] = e
 	}
-	e.host = h
-	e.namedAt = now
-	return e
+	if heardAt.After(e.heardAt) {
+		e.heardAt = heardAt
+		e.host = h
+	}
+}
+
+// setReachable notes whether a connection to an address came up.
+func (t *hostTable) setReachable(addr netip.AddrPort, reachable bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.hosts[addr]
+	switch {
+	case e == nil:
+	case reachable:
+		e.failedAt = time.Time{}
+	default:
+		e.failedAt = now
+	}
 }
 
-// lately returns the hosts heard directly within the heartbeat timeout.
-func (t *hostTable) lately(now time.Time) []*peerspb.Host {
+// gossipSample is how many hosts a heartbeat names beside new ones.
+const gossipSample = 3
+
+// gossip returns hosts to name to a peer: those first heard of after since, and
+// a few others. A zero since names all.
+func (t *hostTable) gossip(since, now time.Time) []*peerspb.Host {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []*peerspb.Host
 	for _, e := range t.hosts {
-		if now.Sub(e.heardAt) < heartbeatTimeout {
-			out = append(out, e.host)
+		if e.newAt.After(since) || rand.IntN(len(t.hosts)) < gossipSample {
+			out = append(out, &peerspb.Host{
+				Id: e.host.GetId(), StartedMs: e.host.GetStartedMs(), Addr: e.host.GetAddr(), Domain: e.host.GetDomain(),
+				QuietMs: uint32(now.Sub(e.heardAt).Milliseconds()),
+			})
 		}
 	}
 	return out
@@ -81,33 +106,79 @@
 
 func (t *hostTable) forget(now time.Time) {
 	for addr, e := range t.hosts {
-		if now.Sub(e.namedAt) > forgetAfter {
+		if now.Sub(e.heardAt) > forgetAfter {
 			delete(t.hosts, addr)
 		}
 	}
 }
 
-// toDial returns the addresses to keep links to: seeds, and the hosts heard of.
-func (t *hostTable) toDial(now time.Time, most int) map[netip.AddrPort]struct{} {
+// route says how an address is reached.
+type route struct {
+	domain string
+	passOn bool // the host there tells its failure domain
+}
+
+// routes returns the addresses to keep links to: all hosts of the own failure
+// domain, and of each other domain all hosts if they are few, else one that
+// passes the news on. Seeds are dialled until they are heard of.
+func (t *hostTable) routes(now time.Time) map[netip.AddrPort]route {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
-	known := make([]netip.AddrPort, 0, len(t.hosts))
-	for addr := range t.hosts {
-		known = append(known, addr)
+	byDomain := make(map[string][]*hostEntry)
+	for _, e := range t.hosts {
+		byDomain[e.host.GetDomain()] = append(byDomain[e.host.GetDomain()], e)
+	}
+	out := make(map[netip.AddrPort]route)
+	for _, seed := range t.seeds {
+		if seed != t.self && t.hosts[seed] == nil {
+			out[seed] = route{}
+		}
 	}
-	slices.SortFunc(known, func(a, b netip.AddrPort) int { return cmp.Compare(t.distance(a), t.distance(b)) })
-	out := make(map[netip.AddrPort]struct{}, len(known))
-	for _, addr := range append(slices.Clone(t.seeds), known...) {
-		if addr != t.self && len(out) < most {
-			out[addr] = struct{}{}
+	for domain, entries := range byDomain {
+		if domain == t.domain || len(entries) <= directHosts {
+			for _, e := range entries {
+				out[e.addr] = route{domain: domain}
+			}
+			continue
+		}
+		if e := t.gateway(entries, now); e != nil {
+			out[e.addr] = route{domain: domain, passOn: true}
 		}
 	}
 	return out
 }
 
-// distance orders hosts on a ring that begins at this host, so that the hosts
-// that are sent to are spread evenly when there are too many for all.
-func (t *hostTable) distance(a netip.AddrPort) uint64 {
-	return position(a) - position(t.self)
+// gateway chooses the host of another domain that passes this host's news on.
+// The choice is spread over that domain's hosts.
+func (t *hostTable) gateway(entries []*hostEntry, now time.Time) *hostEntry {
+	reachable := slices.DeleteFunc(slices.Clone(entries), func(e *hostEntry) bool {
+		return !e.failedAt.IsZero() && now.Sub(e.failedAt) < failureMemory
+	})
+	if len(reachable) == 0 {
+		return nil
+	}
+	return slices.MinFunc(reachable, func(a, b *hostEntry) int { return cmp.Compare(t.distance(a.addr), t.distance(b.addr)) })
+}
+
+// distance orders hosts on a ring that begins at this host.
+func (t *hostTable) distance(a netip.AddrPort) uint64 { return position(a) - position(t.self) }
+
+// readers returns the addresses of the hosts of the own failure domain that
+// watch the store, this one possibly included.
+func (t *hostTable) readers(now time.Time) []netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	near := []netip.AddrPort{t.self}
+	for _, e := range t.hosts {
+		failed := !e.failedAt.IsZero() && now.Sub(e.failedAt) < failureMemory
+		if e.host.GetDomain() == t.domain && now.Sub(e.heardAt) < heartbeatTimeout && !failed {
+			near = append(near, e.addr)
+		}
+	}
+	slices.SortFunc(near, func(a, b netip.AddrPort) int { return cmp.Compare(position(a), position(b)) })
+	if len(near) <= allRead {
+		return near
+	}
+	return near[:readersPerDomain]
 }
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -31,6 +31,7 @@
 type link struct {
 	service *Service
 	addr    netip.AddrPort
+	route   route
 	cancel  context.CancelFunc
 	wake    chan struct{}
 
@@ -41,9 +42,9 @@
 	queued   int
 }
 
-func (s *Service) openLink(ctx context.Context, addr netip.AddrPort) *link {
+func (s *Service) openLink(ctx context.Context, addr netip.AddrPort, r route) *link {
 	linkCtx, cancel := context.WithCancel(ctx)
-	l := &link{service: s, addr: addr, cancel: cancel, wake: make(chan struct{}, 1), pending: &peerspb.News{}}
+	l := &link{service: s, addr: addr, route: r, cancel: cancel, wake: make(chan struct{}, 1), pending: &peerspb.News{}}
 	go l.run(linkCtx)
 	return l
 }
@@ -81,6 +82,12 @@
 	return n, nil
 }
 
+func (l *link) isUp() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.up
+}
+
 func (l *link) setUp(up bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -96,6 +103,9 @@
 		began := time.Now()
 		err := l.connect(ctx)
 		l.setUp(false)
+		if ctx.Err() == nil {
+			l.service.hosts.setReachable(l.addr, false, time.Now())
+		}
 		if time.Since(began) > maxBackoff {
 			backoff = firstBackoff
 			l.service.cfg.Log.Info("link to peer lost", zap.Stringer("addr", l.addr), zap.Error(err))
@@ -127,9 +137,10 @@
 		return err
 	}
 	l.setUp(true)
-	if err := l.send(stream, l.service.hello()); err != nil {
+	if err := l.send(stream, l.hello()); err != nil {
 		return err
 	}
+	l.service.hosts.setReachable(l.addr, true, time.Now())
 	l.service.cfg.Log.Info("link to peer up", zap.Stringer("addr", l.addr))
 	return l.sendAll(ctx, stream)
 }
@@ -138,6 +149,7 @@
 func (l *link) sendAll(ctx context.Context, stream net.Conn) error {
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
+	gossiped := time.Now()
 	for {
 		known := false
 		select {
@@ -153,7 +165,9 @@
 			return err
 		}
 		if known {
-			news.Known = l.service.hosts.lately(time.Now())
+			now := time.Now()
+			news.Known = l.service.hosts.gossip(gossiped, now)
+			gossiped = now
 		}
 		if err := l.send(stream, news); err != nil {
 			return err
@@ -170,11 +184,15 @@
 }
 
 // hello is the first message of a connection.
-func (s *Service) hello() *peerspb.News {
-	n := &peerspb.News{From: s.self, Known: s.hosts.lately(time.Now())}
+func (l *link) hello() *peerspb.News {
+	s := l.service
+	n := &peerspb.News{From: s.self, Known: s.hosts.gossip(time.Time{}, time.Now()), PassOn: l.route.passOn}
 	for _, job := range s.cfg.Board.Local() {
 		n.Started = append(n.Started, encodeJob(job))
 	}
+	if l.route.domain == s.cfg.Domain {
+		n.Relayed = s.relayedSoFar()
+	}
 	return n
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -2,9 +2,14 @@
 // learns the same from them. Hosts find each other by seeds and by what other
 // hosts know. All of it is a hint: a host that hears nothing still serves.
 //
-// Each host keeps one connection to every peer it knows and sends on it; what
-// peers send arrives on the connections that they opened. A connection carries
-// one yamux stream of length-delimited protobuf messages.
+// Each host keeps a connection to every host of its failure domain and sends on
+// it; what peers send arrives on the connections that they opened. Of another
+// domain it reaches every host if they are few, else one that passes its news on
+// there, so that little crosses between domains. A connection carries one yamux
+// stream of length-delimited protobuf messages.
+//
+// Hosts also pass on what the store says: in a large domain a few of them watch
+// it, and the others ask these.
 package peers
 
 import (
@@ -12,6 +17,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,8 +40,9 @@
 	writeTimeout     = 2 * time.Second
 	// forgetAfter is how long an unreachable host is remembered.
 	forgetAfter = 2 * time.Minute
-	// maxLinks bounds the peers that a host sends to.
-	maxLinks = 32
+	// directHosts is the size of another failure domain up to which all its
+	// hosts are told directly.
+	directHosts = 4
 )
 
 // Crashes learns of requests that broke off at targets.
@@ -56,30 +63,39 @@
 // Service exchanges news. It implements placement.Events and is safe for
 // concurrent use.
 type Service struct {
-	cfg     Config
-	self    *peerspb.Host
-	crashes Crashes
-	hosts   *hostTable
+	cfg       Config
+	self      *peerspb.Host
+	crashes   Crashes
+	published Published
+	hosts     *hostTable
+	questions questions
+	serving   atomic.Int64 // questions of peers that wait for a change
 
 	mu       sync.Mutex
 	links    map[netip.AddrPort]*link
 	inbound  map[string]uint64 // newest connection of each peer
 	sequence uint64            // of inbound connections
+	origins  map[string]string // by host of another domain, the peer that passes on its news
+	passing  map[string]bool   // hosts whose news this host passes on
 }
 
 // New returns a service that is not started.
 func New(cfg Config) *Service {
 	return &Service{
-		cfg:     cfg,
-		self:    &peerspb.Host{Id: cfg.HostID, StartedMs: time.Now().UnixMilli(), Addr: cfg.Addr.String(), Domain: cfg.Domain},
-		hosts:   newHostTable(cfg.Addr, cfg.Seeds),
-		links:   make(map[netip.AddrPort]*link),
-		inbound: make(map[string]uint64),
+		cfg:       cfg,
+		self:      &peerspb.Host{Id: cfg.HostID, StartedMs: time.Now().UnixMilli(), Addr: cfg.Addr.String(), Domain: cfg.Domain},
+		hosts:     newHostTable(cfg.Addr, cfg.Domain, cfg.Seeds),
+		origins:   make(map[string]string),
+		passing:   make(map[string]bool),
+		questions: questions{waiting: make(map[uint64]chan *peerspb.Passed)},
+		links:     make(map[netip.AddrPort]*link),
+		inbound:   make(map[string]uint64),
 	}
 }
 
-// SetCrashes sets who learns of crashes. Call it before Start.
-func (s *Service) SetCrashes(c Crashes) { s.crashes = c }
+// Connect sets who learns of crashes and what is passed on of the store. Call it
+// before Start.
+func (s *Service) Connect(c Crashes, p Published) { s.crashes, s.published = c, p }
 
 // Start listens and keeps connections until ctx ends.
 func (s *Service) Start(ctx context.Context) error {
@@ -112,18 +128,18 @@
 }
 
 func (s *Service) adjustLinks(ctx context.Context) {
-	wanted := s.hosts.toDial(time.Now(), maxLinks)
+	wanted := s.hosts.routes(time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for addr, l := range s.links {
-		if _, ok := wanted[addr]; !ok {
+		if r, ok := wanted[addr]; !ok || r.passOn != l.route.passOn {
 			l.cancel()
 			delete(s.links, addr)
 		}
 	}
-	for addr := range wanted {
+	for addr, r := range wanted {
 		if s.links[addr] == nil {
-			s.links[addr] = s.openLink(ctx, addr)
+			s.links[addr] = s.openLink(ctx, addr, r)
 		}
 	}
 }
@@ -159,10 +175,36 @@
 }
 
 // apply takes a peer's news over.
-func (s *Service) apply(host string, n *peerspb.News) {
+func (s *Service) apply(from *peerspb.Host, n *peerspb.News) {
 	for _, h := range n.GetKnown() {
 		s.hosts.mention(h, time.Now())
 	}
+	s.applyJobs(from.GetId(), n)
+	for _, r := range n.GetRelayed() {
+		s.applyRelayed(from.GetId(), r)
+	}
+	for _, p := range n.GetPassed() {
+		s.questions.answer(p)
+	}
+	s.answer(from, n.GetAsk())
+}
+
+func (s *Service) answer(from *peerspb.Host, asks []*peerspb.Ask) {
+	if len(asks) == 0 {
+		return
+	}
+	addr, err := netip.ParseAddrPort(from.GetAddr())
+	if err != nil {
+		s.cfg.Log.Warn("peer gives no address", zap.String("peer", from.GetId()), zap.Error(err))
+		return
+	}
+	for _, ask := range asks {
+		s.serveAsk(addr, ask)
+	}
+}
+
+// applyJobs takes over what a host says of its own jobs.
+func (s *Service) applyJobs(host string, n *peerspb.News) {
 	for _, j := range n.GetStarted() {
 		s.cfg.Board.RemoteStarted(host, decodeJob(j))
 	}
--- /dev/null
+++ b/internal/peers/relayed.go
@@ -0,0 +1,93 @@
+package peers
+
+import "github.com/plantainrun/plantainrun/internal/peers/peerspb"
+
+// News between failure domains: a host tells one host of another domain, which
+// tells all others there.
+
+// passOn tells the own failure domain what a host of another one said.
+func (s *Service) passOn(r *peerspb.Relayed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.GetLost() {
+		delete(s.passing, r.GetOrigin())
+	} else {
+		s.passing[r.GetOrigin()] = true
+	}
+	for _, l := range s.links {
+		if l.route.domain == s.cfg.Domain {
+			l.queue(func(n *peerspb.News) { n.Relayed = append(n.Relayed, r) })
+		}
+	}
+}
+
+// relayed makes the message for a host's news, nil if it says nothing of jobs.
+func relayed(origin string, n *peerspb.News, first bool) *peerspb.Relayed {
+	jobs := len(n.GetStarted()) + len(n.GetRead()) + len(n.GetEnded()) + len(n.GetCrashes())
+	if jobs == 0 && !first {
+		return nil
+	}
+	return &peerspb.Relayed{Origin: origin, First: first, News: &peerspb.News{
+		Started: n.GetStarted(), Read: n.GetRead(), Ended: n.GetEnded(), Crashes: n.GetCrashes(),
+	}}
+}
+
+// applyRelayed takes over news that a peer passes on. Each origin is heard
+// through one peer at a time, the one that began last.
+func (s *Service) applyRelayed(through string, r *peerspb.Relayed) {
+	origin := r.GetOrigin()
+	if origin == s.cfg.HostID {
+		return
+	}
+	s.mu.Lock()
+	if r.GetFirst() {
+		s.origins[origin] = through
+	}
+	current := s.origins[origin] == through
+	if current && r.GetLost() {
+		delete(s.origins, origin)
+	}
+	s.mu.Unlock()
+	if !current {
+		return
+	}
+	if r.GetFirst() || r.GetLost() {
+		s.cfg.Board.ForgetHost(origin)
+	}
+	s.applyJobs(origin, r.GetNews())
+}
+
+// forgetRelayed drops the origins that were heard through a peer.
+func (s *Service) forgetRelayed(through string) {
+	s.mu.Lock()
+	var lost []string
+	for origin, peer := range s.origins {
+		if peer == through {
+			lost = append(lost, origin)
+			delete(s.origins, origin)
+		}
+	}
+	s.mu.Unlock()
+	for _, origin := range lost {
+		s.cfg.Board.ForgetHost(origin)
+	}
+}
+
+// relayedSoFar is what a new connection within the domain begins with.
+func (s *Service) relayedSoFar() []*peerspb.Relayed {
+	s.mu.Lock()
+	origins := make([]string, 0, len(s.passing))
+	for origin := range s.passing {
+		origins = append(origins, origin)
+	}
+	s.mu.Unlock()
+	var out []*peerspb.Relayed
+	for _, origin := range origins {
+		r := &peerspb.Relayed{Origin: origin, First: true, News: &peerspb.News{}}
+		for _, job := range s.cfg.Board.Remote(origin) {
+			r.News.Started = append(r.News.Started, encodeJob(job))
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- a/internal/placement/remote.go
+++ b/internal/placement/remote.go
@@ -18,6 +18,19 @@
 	return jobs
 }
 
+// Remote returns the jobs of a peer that are in progress.
+func (b *Board) Remote(host string) []Job {
+	var jobs []Job
+	for _, s := range b.all() {
+		s.mu.Lock()
+		for _, t := range s.remote[host] {
+			jobs = append(jobs, t.Job)
+		}
+		s.mu.Unlock()
+	}
+	return jobs
+}
+
 // RemoteStarted counts a job that a peer has placed. One that is known already
 // is not counted again.
 func (b *Board) RemoteStarted(host string, job Job) {
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -33,6 +33,10 @@
 	return l, nil
 }
 
+func (s *source) Decode(e follow.Entry) follow.Change {
+	return follow.Change{Entry: e, Revision: e.Revision}
+}
+
 func (s *source) Watch(ctx context.Context, _ follow.Revision, _ time.Duration) (follow.Listing, error) {
 	<-ctx.Done()
 	return follow.Listing{}, ctx.Err()
