Take fewer calls to the store, and pass over engines without memory for reservations

Cause: on the grown kban site asks of peers failed since a reader's view may be up to 3 s old (380 of 396 fallbacks said so), and each change of a series woke every watch; 3,623 reservations were made for some 120 prompts, since engines whose memory was known to be taken were asked as well. Watches now begin 120 ms apart at least.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -24,6 +24,9 @@
 	catchUpWait = 5 * time.Millisecond
 	// answerTimeout is the time for an answer beyond the wait of a watch.
 	answerTimeout = 1200 * time.Millisecond
+	// watchInterval is the shortest time between two watches, so that a series
+	// of changes takes few calls.
+	watchInterval = 120 * time.Millisecond
 	listTimeout   = 4 * time.Second
 
 	firstBackoff = 40 * time.Millisecond
@@ -124,6 +127,7 @@
 func (f *Follower) watch(ctx context.Context) {
 	wait := firstBackoff
 	for ctx.Err() == nil {
+		began := time.Now()
 		sent := f.since()
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+answerTimeout)
 		after, patience := f.next()
@@ -134,6 +138,7 @@
 		case err == nil:
 			f.apply(listing, sent, false)
 			wait = firstBackoff
+			sleep(ctx, watchInterval-time.Since(began))
 		case errors.Is(err, ErrHistoryGone):
 			f.log.Info("store dropped its history, listing everything", zap.Int64("revision", int64(after)))
 			return
@@ -168,9 +173,12 @@
 
 // pause waits for about d, so that hosts do not call in step.
 func pause(ctx context.Context, d time.Duration) {
-	jittered := d/2 + rand.N(d)
+	sleep(ctx, d/2+rand.N(d))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(jittered):
+	case <-time.After(d):
 	}
 }
--- a/internal/follow/shared.go
+++ b/internal/follow/shared.go
@@ -5,11 +5,13 @@
 	"errors"
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 const (
 	// maxPassedAge is how old the view of another host may be to be of use.
-	maxPassedAge = 2 * time.Second
+	maxPassedAge = 3300 * time.Millisecond
 	// passedWait is how long another host may wait for a change.
 	passedWait = 400 * time.Millisecond
 	// directTimeout is the time for the store's answer beyond the wait of a watch.
@@ -39,27 +41,48 @@
 type Shared struct {
 	Source
 	peers Peers
+	log   *zap.Logger
 
 	mu       sync.Mutex
 	failedAt time.Time // of the newest failed call to the store
+	from     string    // where the last answer came from, for the log
 }
 
 // NewShared returns a source that shares the watches of direct among peers.
-func NewShared(direct Source, peers Peers) *Shared { return &Shared{Source: direct, peers: peers} }
+func NewShared(direct Source, peers Peers, log *zap.Logger) *Shared {
+	return &Shared{Source: direct, peers: peers, log: log}
+}
+
+// answeredBy notes a change of where answers come from.
+func (s *Shared) answeredBy(from string, cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.from == from {
+		return
+	}
+	s.log.Info("store is followed through another way", zap.String("from", from), zap.String("before", s.from), zap.NamedError("cause", cause))
+	s.from = from
+}
 
 // Watch returns the changes after a revision from the store or another host.
 func (s *Shared) Watch(ctx context.Context, after Revision, wait time.Duration) (Listing, error) {
 	began := time.Now()
+	var cause error
 	if !s.peers.Reads() || s.failedLately() {
-		if listing, err := s.ask(ctx, began, after, wait); err == nil {
+		listing, err := s.ask(ctx, began, after, wait)
+		if err == nil {
+			s.answeredBy("peer", nil)
 			return listing, nil
 		}
+		cause = err
 	}
 	listing, err := s.direct(ctx, after, wait)
 	if err == nil || errors.Is(err, ErrHistoryGone) {
+		s.answeredBy("store", cause)
 		return listing, err
 	}
 	if passed, askErr := s.ask(ctx, began, after, wait); askErr == nil {
+		s.answeredBy("peer", err)
 		return passed, nil
 	}
 	return listing, err
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -135,8 +135,12 @@
 func (c *chooser) choose(parts int) *choice {
 	work := partWork(c.engine, c.need.PromptTokens, parts)
 	ranked := make([]rankedEngine, len(c.states))
+	reserved := reservation(c.need, parts)
 	for i, st := range c.states {
 		ranked[i] = c.rank(st, work)
+		if reserved > 0 && st.tokens+reserved > c.engine.MemoryTokens {
+			ranked[i].total += fullCost * c.weight
+		}
 		if parts > 1 && st.helping+helpMargin >= c.engine.Slots {
 			ranked[i].total += fullCost * c.weight
 		}
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -18,6 +18,8 @@
 	// maxReserveRounds is how often other engines are tried.
 	maxReserveRounds = 4
 	reservePause     = 150 * time.Millisecond
+	// renewShare is the part of a lease after which it is renewed.
+	renewShare = 0.6
 	// releaseTries is how often a release without an answer is repeated.
 	releaseTries = 3
 )
@@ -116,7 +118,7 @@
 // renew extends the leases until ctx ends.
 func (r *Relay) renew(ctx context.Context, parts []placement.Part, helpers []Helper) {
 	hold := r.settings.Load().HoldReservation
-	ticker := time.NewTicker(hold / 2)
+	ticker := time.NewTicker(time.Duration(renewShare * float64(hold)))
 	defer ticker.Stop()
 	for {
 		select {
