Explain a request from the logs of several hosts

plantainrun logs explain ID FILE... joins a request's own lines with what its hosts believed meanwhile of its targets, the store and peers.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -72,6 +72,10 @@
 	add("audit", "Show the audit trail of a host.", &auditCommand{streams: streams})
 	add("drain", "Let a host finish its requests and exit.", &drainCommand{streams: streams})
 	add("version", "Show the version.", &versionCommand{streams: streams})
+	logsCmd := add("logs", "Work with the logs of hosts.", &logsCommand{})
+	if _, err := logsCmd.AddCommand("explain", "Show what happened to a request.", "Show what happened to a request.", &logsExplainCommand{streams: streams}); err != nil {
+		panic(err)
+	}
 	rulesCmd := add("rules", "Work with rules.", &rulesCommand{})
 	if _, err := rulesCmd.AddCommand("check", "Check a file of rules.", "Check a file of rules.", &rulesCheckCommand{streams: streams}); err != nil {
 		panic(err)
--- /dev/null
+++ b/internal/cli/logs.go
@@ -0,0 +1,46 @@
+package cli
+
+import (
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/plantainrun/plantainrun/internal/explain"
+)
+
+type logsCommand struct{}
+
+type logsExplainCommand struct {
+	Args struct {
+		Request string   `positional-arg-name:"REQUEST" description:"id of the request" required:"yes"`
+		Files   []string `positional-arg-name:"FILE" description:"logs of the hosts" required:"1"`
+	} `positional-args:"yes"`
+	streams Streams
+}
+
+// Execute prints the history of one request from the logs of several hosts.
+func (c *logsExplainCommand) Execute([]string) error {
+	var lines []explain.Line
+	for _, path := range c.Args.Files {
+		part, err := readLog(path)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, part...)
+	}
+	history := explain.Request(c.Args.Request, lines)
+	if len(history) == 0 {
+		return eris.Errorf("no line names request %s: give the logs of every host that may have had it", c.Args.Request)
+	}
+	return explain.Write(c.streams.Out, history)
+}
+
+func readLog(path string) ([]explain.Line, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "log cannot be read")
+	}
+	defer file.Close()
+	lines, err := explain.Read(file, path)
+	return lines, eris.Wrapf(err, "log %s", path)
+}
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,135 @@
+// Package explain joins the structured logs of several hosts into the history
+// of one request: its own lines, and what the hosts that handled it came to
+// believe meanwhile about the targets it went to, the store and their peers.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLine bounds one line of a log, in bytes.
+const maxLine = 1 << 20
+
+// around is how long before and after a request a host's beliefs are shown.
+const around = 3 * time.Second
+
+// Line is one line of a log.
+type Line struct {
+	At      time.Time
+	Source  string // file, or host where the line is prefixed by one
+	Message string
+	Request string
+	Target  string
+	// Fields are all other members, as JSON texts in the order of their names.
+	Fields []Field
+}
+
+// Field is one member of a line.
+type Field struct{ Name, Value string }
+
+// Read returns the lines of a log that can be read. A line may have words
+// before its JSON object; the last of them names the source.
+func Read(r io.Reader, source string) ([]Line, error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	var lines []Line
+	for scanner.Scan() {
+		if l, ok := parse(scanner.Bytes(), source); ok {
+			lines = append(lines, l)
+		}
+	}
+	return lines, scanner.Err()
+}
+
+func parse(text []byte, source string) (Line, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	if words := strings.Fields(string(text[:start])); len(words) > 0 {
+		source = words[len(words)-1]
+	}
+	var members map[string]json.RawMessage
+	if err := json.Unmarshal(text[start:], &members); err != nil {
+		return Line{}, false // not a line of this program
+	}
+	l := Line{Source: source}
+	for name, raw := range members {
+		value := string(raw)
+		var plain string
+		if json.Unmarshal(raw, &plain) == nil {
+			value = plain
+		}
+		switch name {
+		case "ts":
+			l.At, _ = time.Parse(time.RFC3339Nano, value) // a line without a time sorts first
+		case "msg":
+			l.Message = value
+		case "request":
+			l.Request = value
+		case "level":
+		default:
+			if name == "target" {
+				l.Target = value
+			}
+			l.Fields = append(l.Fields, Field{name, value})
+		}
+	}
+	slices.SortFunc(l.Fields, func(a, b Field) int { return strings.Compare(a.Name, b.Name) })
+	return l, l.Message != ""
+}
+
+// Request returns the history of a request in the order of time: its own lines
+// and those beliefs of the hosts that handled it that may have decided it.
+func Request(id string, lines []Line) []Line {
+	var own []Line
+	sources, targets := make(map[string]bool), make(map[string]bool)
+	for _, l := range lines {
+		if l.Request == id {
+			own = append(own, l)
+			sources[l.Source] = true
+			targets[l.Target] = true
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	byTime := func(a, b Line) int { return a.At.Compare(b.At) }
+	slices.SortStableFunc(own, byTime)
+	from, to := own[0].At.Add(-around), own[len(own)-1].At.Add(around)
+	out := own
+	for _, l := range lines {
+		known := l.Target == "" || targets[l.Target]
+		if l.Request == "" && sources[l.Source] && known && l.At.After(from) && l.At.Before(to) {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, byTime)
+	return out
+}
+
+// Write prints a history, with times since its first line.
+func Write(w io.Writer, history []Line) error {
+	for _, l := range history {
+		mark := " "
+		if l.Request != "" {
+			mark = "*"
+		}
+		var fields []string
+		for _, f := range l.Fields {
+			fields = append(fields, f.Name+"="+f.Value)
+		}
+		since := l.At.Sub(history[0].At).Seconds()
+		if _, err := fmt.Fprintf(w, "%s %8.3f s  %-20s %s  %s\n", mark, since, l.Source, l.Message, strings.Join(fields, " ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
