Ask hosts of other domains when the own ones know nothing new

Asking now goes to the host that answered last, then to the readers of the domain, then to others, four at most. Ruled out: a lost link between the domains. Tests: internal/peers (gateways and their death, lost hosts, asking across domains, readers).

--- a/internal/follow/shared.go
+++ b/internal/follow/shared.go
@@ -23,16 +23,16 @@
 // ErrNoPeer means that no other host can answer.
 var ErrNoPeer = errors.New("no other host can tell what is published: read the store")
 
-// errTooOld means that the other host's own view is too old.
-var errTooOld = errors.New("the other host has not heard of the store lately")
+// ErrPeersOld means that the other hosts' own views are too old.
+var ErrPeersOld = errors.New("no other host has heard of the store lately: read it")
 
 // Peers are the other hosts.
 type Peers interface {
 	// Reads reports whether this host is one of those that read the store.
 	Reads() bool
-	// Ask asks another host for the changes after a revision. It returns
-	// ErrNoPeer, or the context's error.
-	Ask(ctx context.Context, after Revision, wait time.Duration) (Passed, error)
+	// Ask asks other hosts for the changes after a revision, with a view of at
+	// most maxAge. It returns ErrNoPeer, ErrPeersOld, or the context's error.
+	Ask(ctx context.Context, after Revision, wait, maxAge time.Duration) (Passed, error)
 }
 
 // Shared is a Source for which only some hosts watch the store. The others ask
@@ -110,14 +110,11 @@
 // ask asks another host. The age of the answer counts from began.
 func (s *Shared) ask(ctx context.Context, began time.Time, after Revision, wait time.Duration) (Listing, error) {
 	late := time.Since(began)
-	passed, err := s.peers.Ask(ctx, after, min(wait, passedWait))
+	passed, err := s.peers.Ask(ctx, after, min(wait, passedWait), maxPassedAge)
 	if err != nil {
 		return Listing{}, err
 	}
 	age := time.Duration(passed.Age) * time.Millisecond
-	if age > maxPassedAge {
-		return Listing{}, errTooOld
-	}
 	listing := Listing{Revision: passed.Revision, Age: age - late}
 	for _, e := range passed.Entries {
 		listing.Changes = append(listing.Changes, s.Decode(e))
--- a/internal/follow/shared_test.go
+++ b/internal/follow/shared_test.go
@@ -21,7 +21,7 @@
 }
 
 func (p *peers) Reads() bool { return p.reads }
-func (p *peers) Ask(ctx context.Context, after follow.Revision, wait time.Duration) (follow.Passed, error) {
+func (p *peers) Ask(ctx context.Context, after follow.Revision, wait, _ time.Duration) (follow.Passed, error) {
 	p.asked++
 	if p.other == nil {
 		return follow.Passed{}, follow.ErrNoPeer
--- a/internal/peers/asking.go
+++ b/internal/peers/asking.go
@@ -20,6 +20,8 @@
 	readersPerDomain = 2
 	// answerTimeout is the time for a peer's answer beyond the wait it may take.
 	answerTimeout = 300 * time.Millisecond
+	// maxAsked is how many hosts are asked one after the other.
+	maxAsked = 4
 	// maxWaiting bounds the questions that wait for a change at a time.
 	maxWaiting = 256
 )
@@ -68,12 +70,28 @@
 	return slices.Contains(s.hosts.readers(time.Now()), s.cfg.Addr)
 }
 
-// Ask asks a host that watches the store. It implements follow.Peers.
-func (s *Service) Ask(ctx context.Context, after follow.Revision, wait time.Duration) (follow.Passed, error) {
-	l := s.askable()
-	if l == nil {
-		return follow.Passed{}, follow.ErrNoPeer
+// Ask asks hosts until one has a view of at most maxAge: the one that had it
+// last, those of the own failure domain that watch the store, then others. It
+// implements follow.Peers.
+func (s *Service) Ask(ctx context.Context, after follow.Revision, wait, maxAge time.Duration) (follow.Passed, error) {
+	err := follow.ErrNoPeer
+	for _, l := range s.askable() {
+		passed, askErr := s.askOne(ctx, l, after, wait)
+		if askErr == nil && time.Duration(passed.Age)*time.Millisecond <= maxAge {
+			s.answered.Store(l)
+			return passed, nil
+		}
+		if ctx.Err() != nil {
+			return follow.Passed{}, ctx.Err()
+		}
+		if askErr == nil {
+			err = follow.ErrPeersOld
+		}
 	}
+	return follow.Passed{}, err
+}
+
+func (s *Service) askOne(ctx context.Context, l *link, after follow.Revision, wait time.Duration) (follow.Passed, error) {
 	nonce, answer := s.questions.open()
 	defer s.questions.close(nonce)
 	ask := &peerspb.Ask{Nonce: nonce, After: int64(after), WaitMs: uint32(wait.Milliseconds())}
@@ -92,20 +110,28 @@
 	}
 }
 
-// askable returns a link to a host to ask, one that watches the store if there is one.
-func (s *Service) askable() *link {
-	var links []*link
+// askable returns the links to hosts to ask, in order.
+func (s *Service) askable() []*link {
+	readers := s.hosts.readers(time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, addr := range s.hosts.readers(time.Now()) {
-		if l := s.links[addr]; l != nil && l.isUp() {
-			links = append(links, l)
+	var first, others []*link
+	for addr, l := range s.links {
+		switch {
+		case !l.isUp():
+		case slices.Contains(readers, addr):
+			first = append(first, l)
+		default:
+			others = append(others, l)
 		}
 	}
-	if len(links) == 0 {
-		return nil
+	rand.Shuffle(len(first), func(i, j int) { first[i], first[j] = first[j], first[i] })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	order := append(first, others...)
+	if i := slices.Index(order, s.answered.Load()); i > 0 {
+		order[0], order[i] = order[i], order[0]
 	}
-	return links[rand.IntN(len(links))]
+	return order[:min(len(order), maxAsked)]
 }
 
 // serveAsk answers a peer once there is a change, or after its wait.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -69,7 +69,8 @@
 	published Published
 	hosts     *hostTable
 	questions questions
-	serving   atomic.Int64 // questions of peers that wait for a change
+	answered  atomic.Pointer[link] // whose answer was of use last
+	serving   atomic.Int64         // questions of peers that wait for a change
 
 	mu       sync.Mutex
 	links    map[netip.AddrPort]*link
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,188 @@
+package peers_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/follow"
+	"github.com/plantainrun/plantainrun/internal/peers"
+	"github.com/plantainrun/plantainrun/internal/placement"
+)
+
+// Waits are generous: the verdict must not hang on the machine's speed.
+const wait = 20 * time.Second
+
+// host is one service on loopback.
+type host struct {
+	*peers.Service
+	addr   netip.AddrPort
+	board  *placement.Board
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	crashed []uint64
+	passed  follow.Passed
+	changed chan struct{}
+}
+
+func (h *host) LearnCrash(fingerprint uint64, _ catalog.TargetKey) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.crashed = append(h.crashed, fingerprint)
+}
+
+func (h *host) crashes() []uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]uint64(nil), h.crashed...)
+}
+
+func (h *host) Since(after follow.Revision) (follow.Passed, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.passed, after <= h.passed.Revision
+}
+
+func (h *host) Changed() <-chan struct{} { return h.changed }
+
+func freeAddr(g *WithT) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// fleet starts hosts, named by domain and number; the first one is the seed.
+func fleet(t *testing.T, domains ...string) []*host {
+	g := NewWithT(t)
+	var hosts []*host
+	for range domains {
+		hosts = append(hosts, &host{addr: freeAddr(g), changed: make(chan struct{})})
+	}
+	for i, h := range hosts {
+		h.start(t, fmt.Sprint(domains[i], "-", i), domains[i], hosts[0].addr)
+	}
+	for _, h := range hosts {
+		g.Eventually(h.Known, wait).Should(Equal(len(hosts)))
+	}
+	return hosts
+}
+
+func (h *host) start(t *testing.T, id, domain string, seed netip.AddrPort) {
+	h.board = placement.NewBoard(time.Now, 1)
+	h.Service = peers.New(peers.Config{HostID: id, Domain: domain, Addr: h.addr, Seeds: []netip.AddrPort{seed}, Board: h.board, Log: zap.NewNop()})
+	h.Connect(h, h)
+	h.board.Notify(h.Service)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	t.Cleanup(cancel)
+	NewWithT(t).Expect(h.Start(ctx)).To(Succeed())
+}
+
+var targets = []catalog.Target{
+	{TargetKey: catalog.TargetKey{ID: "busy"}, Service: "orders", Slots: 4},
+	{TargetKey: catalog.TargetKey{ID: "idle"}, Service: "orders", Slots: 4},
+}
+
+// avoidsBusy reports whether a host places elsewhere than on the first target.
+func (h *host) avoidsBusy() bool {
+	for range 8 {
+		p, err := h.board.Place(placement.Need{Service: "orders"}, targets)
+		if err != nil {
+			return false
+		}
+		p.End(placement.Abandoned)
+		if p.Primary.ID == "busy" {
+			return false
+		}
+	}
+	return true
+}
+
+// One host of a large domain is told and tells the others; when it dies, the
+// sender tells another one.
+func TestNewsReachesEveryHostOfOtherDomains(t *testing.T) {
+	g := NewWithT(t)
+	hosts := fleet(t, "north", "south", "south", "south", "south", "south", "south")
+	sender, south := hosts[0], hosts[1:]
+	var placed []*placement.Placement
+	occupy := func() {
+		p, err := sender.board.Place(placement.Need{Service: "orders"}, targets[:1])
+		g.Expect(err).NotTo(HaveOccurred())
+		placed = append(placed, p)
+	}
+	occupy()
+	for _, h := range south {
+		g.Eventually(h.avoidsBusy, wait).Should(BeTrue())
+	}
+	sender.Crashed(77, targets[0].TargetKey)
+	for _, h := range south {
+		g.Eventually(h.crashes, wait).Should(ContainElement(BeEquivalentTo(77)))
+	}
+	for _, dead := range south[:3] { // the host that passes on may be among them
+		dead.cancel()
+	}
+	occupy()
+	for _, h := range south[3:] {
+		g.Eventually(h.avoidsBusy, wait).Should(BeTrue())
+	}
+	for _, p := range placed {
+		p.End(placement.Served)
+	}
+	for _, h := range south[3:] {
+		g.Eventually(h.avoidsBusy, wait).Should(BeFalse(), "the jobs have ended")
+	}
+}
+
+func TestALostHostsJobsAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	hosts := fleet(t, "north", "north")
+	_, err := hosts[1].board.Place(placement.Need{Service: "orders"}, targets[:1])
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(hosts[0].avoidsBusy, wait).Should(BeTrue())
+	hosts[1].cancel()
+	g.Eventually(hosts[0].avoidsBusy, wait).Should(BeFalse())
+}
+
+// The hosts of the own domain are as lost as this one; a host of another domain
+// has heard of the store.
+func TestHostsOfOtherDomainsAreAskedWhenTheOwnKnowNothingNew(t *testing.T) {
+	g := NewWithT(t)
+	hosts := fleet(t, "north", "north", "south")
+	old := follow.Passed{Revision: 5, Age: time.Minute.Milliseconds()}
+	hosts[1].passed = old
+	hosts[2].passed = follow.Passed{Revision: 6, Age: 20, Entries: []follow.Entry{{Key: "k", Value: []byte("v"), Revision: 6}}}
+	ask := func() (follow.Passed, error) {
+		return hosts[0].Ask(t.Context(), 5, 50*time.Millisecond, time.Second)
+	}
+	g.Eventually(ask, wait).Should(Equal(hosts[2].passed))
+	hosts[2].mu.Lock()
+	hosts[2].passed = old
+	hosts[2].mu.Unlock()
+	_, err := ask()
+	g.Expect(err).To(MatchError(follow.ErrPeersOld))
+}
+
+func TestInALargeDomainTwoHostsReadTheStore(t *testing.T) {
+	g := NewWithT(t)
+	hosts := fleet(t, "north", "north", "north", "north", "north", "north", "south")
+	readers := func() (n int) {
+		for _, h := range hosts[:6] {
+			if h.Reads() {
+				n++
+			}
+		}
+		return n
+	}
+	g.Eventually(readers, wait).Should(Equal(2))
+	g.Expect(hosts[6].Reads()).To(BeTrue(), "the only host of a domain")
+}
