Guard the counters of the shared-watch tests against races

Cause: the race detector found the test's own counter read without a lock (TestWithoutAPeersAnswerTheStoreIsRead). The checks are the same. After: peers, follow, relay, placement and platform pass under the race detector.

--- a/internal/follow/shared_test.go
+++ b/internal/follow/shared_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,12 +42,12 @@
 // lagging is a store that counts calls and may turn this host away.
 type lagging struct {
 	*store
-	watches int
+	watches atomic.Int64
 	away    bool
 }
 
 func (l *lagging) Watch(ctx context.Context, after follow.Revision, wait time.Duration) (follow.Listing, error) {
-	l.watches++
+	l.watches.Add(1)
 	if l.away {
 		return follow.Listing{}, errors.New("turned away")
 	}
@@ -54,6 +55,8 @@
 }
 
 func (l *lagging) Decode(e follow.Entry) follow.Change {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, c := range l.changes {
 		if c.Revision == e.Revision {
 			c.Entry = e
@@ -82,7 +85,7 @@
 		time.Sleep(time.Second)
 		g.Expect(asker.View().Config.Version).To(BeEquivalentTo(9))
 		g.Expect(targets(asker)).To(ConsistOf("a"))
-		g.Expect(direct.watches).To(BeZero())
+		g.Expect(direct.watches.Load()).To(BeZero())
 	})
 }
 
@@ -122,6 +125,6 @@
 		s.put(version(9))
 		time.Sleep(200 * time.Millisecond)
 		g.Expect(f.View().Config.Version).To(BeEquivalentTo(9))
-		g.Expect(direct.watches).To(BeNumerically(">", 0))
+		g.Expect(direct.watches.Load()).To(BeNumerically(">", 0))
 	})
 }
