--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -19,7 +19,7 @@
 	"github.com/onsi/gomega/gbytes"
 	"github.com/onsi/gomega/gexec"
 
-	"github.com/plantainrun/plantainrun/internal/cli"
+	"github.com/plantainrun/plantainrun/internal/testbinary"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
 
@@ -34,20 +34,8 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	// With all commands linked in, a change of the binary changes this test's
-	// own binary too, so that no cached result stands for it.
-	if cli.Run([]string{"version"}, cli.Streams{Out: io.Discard, Err: os.Stderr}) != cli.ExitOK {
-		os.Exit(1)
-	}
-	path, err := gexec.Build("github.com/plantainrun/plantainrun/cmd/plantainrun")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	binary = path
-	code := m.Run()
+	code := testbinary.Main(m, &binary)
 	gexec.Kill()
-	gexec.CleanupBuildArtifacts()
 	os.Exit(code)
 }
 
--- a/internal/follow/apply.go
+++ b/internal/follow/apply.go
@@ -47,7 +47,7 @@
 	case c.Target == nil:
 		return f.remove(c.TargetID, c.Revision, catchingUp, now)
 	default:
-		return f.register(c, now)
+		return f.register(c)
 	}
 }
 
@@ -61,7 +61,7 @@
 	return true
 }
 
-func (f *Follower) register(c Change, now time.Time) bool {
+func (f *Follower) register(c Change) bool {
 	old, known := f.entries[c.TargetID]
 	if known && c.Revision < old.revision {
 		return false
--- a/internal/peers/asking.go
+++ b/internal/peers/asking.go
@@ -127,7 +127,7 @@
 	}
 	rand.Shuffle(len(first), func(i, j int) { first[i], first[j] = first[j], first[i] })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	order := append(first, others...)
+	order := slices.Concat(first, others)
 	if i := slices.Index(order, s.answered.Load()); i > 0 {
 		order[0], order[i] = order[i], order[0]
 	}
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -90,15 +90,6 @@
 	return max(l.readyAt.Sub(now), l.unread(nil))
 }
 
-// tokens is the memory of the jobs in progress.
-func (l *load) tokens() int {
-	sum := 0
-	for _, j := range l.jobs {
-		sum += j.share.Tokens
-	}
-	return sum
-}
-
 func (l *load) faultShare(now time.Time) float64 {
 	halves := float64(now.Sub(l.faultsAt)) / float64(faultFade)
 	return l.faults / (1 + halves)
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -56,8 +56,8 @@
 
 // tally counts what callers got.
 type tally struct {
-	asked, firstInTime, inTime int
-	firsts                     []time.Duration
+	asked, inTime int
+	firsts        []time.Duration
 }
 
 func (t *tally) share() float64 { return float64(t.inTime) / float64(max(t.asked, 1)) }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -189,7 +189,8 @@
 		return failed, ReasonLost
 	}
 	if len(body) > bufferedAnswer {
-		return j.passOn(placed, answer, body), ""
+		j.passOn(placed, answer, body)
+		return finished, ""
 	}
 	if answer.Status >= http.StatusInternalServerError {
 		placed.End(placement.Faulty)
@@ -212,7 +213,7 @@
 }
 
 // passOn hands on a large answer while it arrives.
-func (j *job) passOn(placed *placement.Placement, answer *Answer, start []byte) step {
+func (j *job) passOn(placed *placement.Placement, answer *Answer, start []byte) {
 	j.begun = true
 	j.reply.Begin(answer.Status, answer.Header)
 	err := j.reply.Piece(start)
@@ -230,10 +231,9 @@
 	if !errors.Is(err, io.EOF) {
 		j.observe("broken", placed, zap.Error(err))
 		j.reply.Abort()
-		return finished
+		return
 	}
 	j.observe("done", placed, zap.Int("status", answer.Status))
-	return finished
 }
 
 // broken handles an answer that ended early.
