Take signals over before anything else

The signal came while the process set itself up, 8 ms before the line 'started': only go-zero's own handler had it, which closed the listeners a second later and, its wait then being a year, never ended the process. Ruled out: a fault of the drain, no line 'draining' was written; the test's proxies, other hosts served through theirs. Now the signals are ours from the first statement on, and one that only go-zero saw is passed on. Applies to serve as well, which SIGHUP no longer ends.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"os"
-	"os/signal"
 	"reflect"
 	"syscall"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/plantainrun/plantainrun/internal/edge"
 	"github.com/plantainrun/plantainrun/internal/logging"
 	"github.com/plantainrun/plantainrun/internal/relay"
+	"github.com/plantainrun/plantainrun/internal/signals"
 	"github.com/plantainrun/plantainrun/platform"
 )
 
@@ -26,6 +26,7 @@
 
 // Execute runs an entry host on the users' platform until it has drained.
 func (c *edgeCommand) Execute([]string) error {
+	received := signals.Notify()
 	settings, err := platform.ReadSettings(c.Config)
 	if err != nil {
 		return &usageError{err}
@@ -33,8 +34,6 @@
 	log := logging.NewEvents(c.streams.Out)
 	defer func() { _ = log.Sync() }()
 	logging.Route(log)
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	host, err := edge.New(settings, newAdapter(settings, log), log)
 	if err != nil {
 		return err
@@ -42,7 +41,7 @@
 	if err := host.Start(); err != nil {
 		return err
 	}
-	c.supervise(host, settings, signals, log)
+	c.supervise(host, settings, received, log)
 	return nil
 }
 
@@ -60,12 +59,12 @@
 
 // supervise reacts to signals and to changes of the settings until the host
 // has drained.
-func (c *edgeCommand) supervise(host *edge.Host, settings edge.Settings, signals <-chan os.Signal, log *zap.Logger) {
+func (c *edgeCommand) supervise(host *edge.Host, settings edge.Settings, received <-chan os.Signal, log *zap.Logger) {
 	reread := time.NewTicker(settingsInterval)
 	defer reread.Stop()
 	for {
 		select {
-		case sig := <-signals:
+		case sig := <-received:
 			if sig == syscall.SIGHUP {
 				settings = c.reload(host, settings, log)
 				continue
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"os/signal"
 	"syscall"
 
 	"go.uber.org/zap"
@@ -10,6 +9,7 @@
 	"github.com/plantainrun/plantainrun/internal/config"
 	"github.com/plantainrun/plantainrun/internal/logging"
 	"github.com/plantainrun/plantainrun/internal/server"
+	"github.com/plantainrun/plantainrun/internal/signals"
 )
 
 type serveCommand struct {
@@ -19,6 +19,7 @@
 
 // Execute runs an entry host until it has drained.
 func (c *serveCommand) Execute([]string) error {
+	received := signals.Notify()
 	addrs, err := c.Check()
 	if err != nil {
 		return &usageError{err}
@@ -33,20 +34,22 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	if err := srv.Start(); err != nil {
 		return err
 	}
-	drainOnSignal(srv, signals, log)
+	drainOnSignal(srv, received, log)
 	return nil
 }
 
 // drainOnSignal waits for the end of a drain. Further signals change nothing.
-func drainOnSignal(srv *server.Server, signals <-chan os.Signal, log *zap.Logger) {
+func drainOnSignal(srv *server.Server, received <-chan os.Signal, log *zap.Logger) {
 	for {
 		select {
-		case sig := <-signals:
+		case sig := <-received:
+			if sig == syscall.SIGHUP {
+				log.Info("settings come from flags and the environment: restart the host to change them")
+				continue
+			}
 			if !srv.Drain("signal " + sig.String()) {
 				log.Info("already draining", zap.String("signal", sig.String()))
 			}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -20,6 +20,8 @@
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpx"
 	"github.com/zeromicro/go-zero/rest/router"
+
+	"github.com/plantainrun/plantainrun/internal/signals"
 )
 
 // Bounds of one connection. Requests themselves carry their own time limits.
@@ -29,10 +31,6 @@
 	startTimeout      = 10 * time.Second
 )
 
-// signalHold keeps go-zero's own signal handling from closing listeners or
-// ending the process: the server drains instead.
-const signalHold = 365 * 24 * time.Hour
-
 // Server is one HTTP listener.
 type Server struct {
 	name   string
@@ -53,7 +51,7 @@
 			Name:     name,
 			Mode:     service.ProMode,
 			Log:      logx.LogConf{Mode: "console", Level: "error"},
-			Shutdown: proc.ShutdownConf{WrapUpTime: signalHold, WaitTime: 2 * signalHold},
+			Shutdown: proc.ShutdownConf{WrapUpTime: signals.Hold, WaitTime: 2 * signals.Hold},
 		},
 		Host: addr.Addr().String(),
 		Port: int(addr.Port()),
