Try a domain that is cut off with one request at a time

Cause: after 1.5 s without a failure every request tried the targets of a domain that was still cut off, each at the cost of a dial timeout. Test: TestTargetsOfADomainThatIsCutOffAreAvoided extended; without probing all of 30 requests may try.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -32,6 +32,7 @@
 	remote map[string]map[JobID]*tracked // by peer
 	demand demand
 	random *rand.Rand
+	probed map[string]time.Time // when a domain that is cut off was tried last
 }
 
 // NewBoard returns an empty board that reads the time from now and breaks ties
@@ -57,6 +58,7 @@
 			loads:  make(map[catalog.TargetKey]*load),
 			local:  make(map[JobID]*tracked),
 			remote: make(map[string]map[JobID]*tracked),
+			probed: make(map[string]time.Time),
 			random: rand.New(rand.NewPCG(b.seed, xxhash.Sum64String(service))),
 		}
 		b.shards[service] = s
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -76,6 +76,16 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(p.Primary.Domain).To(Equal("north"))
 	}
+	clk.Advance(2 * time.Second)
+	tried := 0
+	for range 30 {
+		p, err := board.Place(order, targets)
+		g.Expect(err).NotTo(HaveOccurred())
+		if p.Primary.Domain == "south" {
+			tried++
+		}
+	}
+	g.Expect(tried).To(BeNumerically("<=", 1), "one request tries whether the domain is back")
 	p, err := board.Place(order, targets[2:3])
 	g.Expect(err).NotTo(HaveOccurred())
 	p.End(placement.Served)
