--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -111,7 +111,7 @@
 	if need.Engine == nil {
 		shares = p.choosePlain(candidates, s.random, now)
 	} else {
-		s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+		candidates = s.sample(candidates)
 		shares = p.choosePrompt(&need, candidates, &s.demand, now)
 	}
 	p.job = &tracked{at: now, Job: Job{
@@ -147,6 +147,16 @@
 	return good
 }
 
+// maxCandidates bounds the engines that are compared for one prompt.
+const maxCandidates = 96
+
+// sample shuffles the candidates, so that equal ones are drawn at random, and
+// bounds their number.
+func (s *shard) sample(candidates []*load) []*load {
+	s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return candidates[:min(len(candidates), maxCandidates)]
+}
+
 func (s *shard) load(key catalog.TargetKey) *load {
 	l := s.loads[key]
 	if l == nil {
