Refuse at once what its caller would not wait for

A stream whose first event is predicted beyond one and a half times its caller's patience is refused, with when to come back. Test TestAPromptThatCannotBeInTimeIsRefusedAtOnce failed first (it was sent).

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -20,6 +20,9 @@
 	// attemptShare is the part of the time left that an attempt may take while
 	// another one could follow.
 	attemptShare = 0.4
+	// hopelessShare is the predicted wait, in parts of the caller's patience,
+	// from which on a request is refused at once.
+	hopelessShare = 1.5
 )
 
 // attempt places the request, sends it once and handles the answer.
@@ -31,6 +34,10 @@
 	if placed == nil {
 		return stuck, reason
 	}
+	if j.hopeless(placed) {
+		placed.End(placement.Abandoned)
+		return stuck, ReasonHopeless
+	}
 	held, err := j.relay.reserve(ctx, j, placed)
 	if err != nil {
 		placed.End(placement.Abandoned)
@@ -75,6 +82,21 @@
 	return placed, ""
 }
 
+// hopeless reports whether even the best choice would keep the caller waiting
+// until it leaves. Another try a little later may meet a shorter backlog.
+func (j *job) hopeless(placed *placement.Placement) bool {
+	if j.route.Kind != catalog.Streaming || j.begun {
+		return false
+	}
+	wait := time.Since(j.req.Arrived) + placed.Wait
+	limit := min(j.route.Patience(), j.limit())
+	if float64(wait) < hopelessShare*float64(limit) {
+		return false
+	}
+	j.log("not placed", zap.String("target", placed.Primary.ID), zap.Duration("predicted_wait", placed.Wait), zap.Duration("patience", limit))
+	return true
+}
+
 // patience is how long an attempt may go without a sign of progress.
 func (j *job) patience() time.Duration {
 	left := j.left()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainrun/plantainrun/internal/placement"
 	"github.com/plantainrun/plantainrun/internal/relay"
 )
 
@@ -219,3 +220,23 @@
 		g.Expect(time.Since(began)).To(BeZero())
 	})
 }
+
+// Every engine has a minute to read: the caller would leave first, so it is
+// told at once when to come back.
+func TestAPromptThatCannotBeInTimeIsRefusedAtOnce(t *testing.T) {
+	bubble(t, func(g *WithT, ctx context.Context) {
+		w := newWorld(always(script{status: 200, events: 3}))
+		for i, target := range w.knowledge.View().Targets("llm") {
+			w.board.RemoteStarted("peer", placement.Job{
+				ID: placement.JobID(i), Service: "llm", Weight: 1, Objective: time.Second,
+				Shares: []placement.Share{{Target: target.TargetKey, Work: time.Minute, Writes: true}},
+			})
+		}
+		began := time.Now()
+		r := w.serve(ctx, relay.Request{URI: "/chat/1", PromptTokens: 500})
+		g.Expect(r.refusal.Reason).To(Equal(relay.ReasonHopeless))
+		g.Expect(r.refusal.RetryAfter).To(BeNumerically(">", 0))
+		g.Expect(time.Since(began)).To(BeZero())
+		g.Expect(w.transport.sends).To(BeZero())
+	})
+}
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -254,12 +254,13 @@
 	transport *transport
 	knowledge *knowledge
 	budget    *budget
+	board     *placement.Board
 }
 
 func newWorld(next func(relay.Call) script) *world {
-	w := &world{transport: &transport{next: next}, knowledge: newKnowledge(published()), budget: &budget{left: 100}}
+	w := &world{transport: &transport{next: next}, knowledge: newKnowledge(published()), budget: &budget{left: 100}, board: placement.NewBoard(time.Now, 1)}
 	w.relay = relay.New(relay.Config{
-		Knowledge: w.knowledge, Board: placement.NewBoard(time.Now, 1), Transport: w.transport, Budget: w.budget,
+		Knowledge: w.knowledge, Board: w.board, Transport: w.transport, Budget: w.budget,
 		Observer: silentObserver{}, Peers: silentObserver{}, Log: zap.NewNop(), Name: "host",
 		Settings: relay.Settings{TrustKeys: 4 * time.Second, HoldReservation: 3 * time.Second},
 	})
