--- a/internal/peers/accept.go
+++ b/internal/peers/accept.go
@@ -49,74 +49,91 @@
 	if err != nil {
 		return // closed before it said anything
 	}
-	host, serial, passOn, err := s.receive(stream)
-	if host == "" {
+	in, err := s.receive(stream)
+	if in == nil {
 		s.cfg.Log.Warn("connection of a peer refused", zap.Error(err))
 		return
 	}
-	if s.closeInbound(host, serial) {
-		s.cfg.Board.ForgetHost(host)
-		s.forgetRelayed(host)
-		if passOn {
-			s.passOn(&peerspb.Relayed{Origin: host, Lost: true})
-		}
-		s.cfg.Log.Info("peer lost", zap.String("peer", host), zap.Error(err))
+	if !s.closeInbound(in) {
+		return
+	}
+	s.cfg.Log.Info("peer lost", zap.String("peer", in.host), zap.Error(err))
+	if in.jobs {
+		s.cfg.Board.ForgetHost(in.host)
+	}
+	s.forgetRelayed(in.host)
+	if in.passOn {
+		s.passOn(&peerspb.Relayed{Origin: in.host, Lost: true})
 	}
 }
 
+// inbound is a connection that a peer opened.
+type inbound struct {
+	host   string
+	serial uint64
+	jobs   bool // it carries the peer's jobs
+	passOn bool // its news are passed on within the domain
+}
+
 // receive applies a peer's messages until the connection fails or falls silent.
-func (s *Service) receive(stream net.Conn) (host string, serial uint64, passOn bool, err error) {
+func (s *Service) receive(stream net.Conn) (*inbound, error) {
 	reader := bufio.NewReader(stream)
 	opts := protodelim.UnmarshalOptions{MaxSize: maxMessage}
 	var from *peerspb.Host
+	var in *inbound
 	for {
 		if err := stream.SetReadDeadline(time.Now().Add(heartbeatTimeout)); err != nil {
-			return host, serial, passOn, err
+			return in, err
 		}
 		news := &peerspb.News{}
 		if err := opts.UnmarshalFrom(reader, news); err != nil {
-			return host, serial, passOn, err
+			return in, err
 		}
-		first := from == nil
+		first := in == nil
 		if first {
 			if from = news.GetFrom(); from.GetId() == "" {
-				return "", 0, false, errNoHello
+				return nil, errNoHello
 			}
-			host = from.GetId()
-			serial = s.openInbound(host)
-			passOn = news.GetPassOn()
+			in = s.openInbound(news)
 		}
 		s.hosts.heard(from, time.Now())
 		s.apply(from, news)
-		if !passOn {
+		if !in.passOn {
 			continue
 		}
-		if r := relayed(host, news, first); r != nil {
+		if r := relayed(in.host, news, first); r != nil {
 			s.passOn(r)
 		}
 	}
 }
 
-// openInbound makes a connection the one that counts for its peer. It begins
-// with all jobs in progress, so what was known before is dropped.
-func (s *Service) openInbound(host string) uint64 {
+// openInbound makes a connection the one that counts for its peer. If it
+// carries the peer's jobs, it begins with all that are in progress, so what was
+// known before is dropped.
+func (s *Service) openInbound(hello *peerspb.News) *inbound {
+	in := &inbound{host: hello.GetFrom().GetId(), jobs: hello.GetJobs(), passOn: hello.GetPassOn()}
 	s.mu.Lock()
 	s.sequence++
-	serial := s.sequence
-	s.inbound[host] = serial
+	in.serial = s.sequence
+	s.inbound[in.host] = in.serial
+	if !in.passOn {
+		delete(s.passing, in.host) // another host passes its news on
+	}
 	s.mu.Unlock()
-	s.cfg.Board.ForgetHost(host)
-	s.cfg.Log.Info("peer heard", zap.String("peer", host))
-	return serial
+	if in.jobs {
+		s.cfg.Board.ForgetHost(in.host)
+	}
+	s.cfg.Log.Info("peer heard", zap.String("peer", in.host))
+	return in
 }
 
 // closeInbound reports whether the connection was the newest of its peer.
-func (s *Service) closeInbound(host string, serial uint64) bool {
+func (s *Service) closeInbound(in *inbound) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inbound[host] != serial {
+	if s.inbound[in.host] != in.serial {
 		return false
 	}
-	delete(s.inbound, host)
+	delete(s.inbound, in.host)
 	return true
 }
--- a/internal/peers/asking.go
+++ b/internal/peers/asking.go
@@ -95,7 +95,7 @@
 	nonce, answer := s.questions.open()
 	defer s.questions.close(nonce)
 	ask := &peerspb.Ask{Nonce: nonce, After: int64(after), WaitMs: uint32(wait.Milliseconds())}
-	l.queue(func(n *peerspb.News) { n.Ask = append(n.Ask, ask) })
+	l.queue(true, func(n *peerspb.News) { n.Ask = append(n.Ask, ask) })
 	select {
 	case <-ctx.Done():
 		return follow.Passed{}, ctx.Err()
@@ -168,7 +168,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l := s.links[to]; l != nil {
-		l.queue(func(n *peerspb.News) { n.Passed = append(n.Passed, p) })
+		l.queue(true, func(n *peerspb.News) { n.Passed = append(n.Passed, p) })
 	}
 }
 
--- a/internal/peers/hosts.go
+++ b/internal/peers/hosts.go
@@ -115,12 +115,14 @@
 // route says how an address is reached.
 type route struct {
 	domain string
+	jobs   bool // this host's jobs are told there
 	passOn bool // the host there tells its failure domain
 }
 
 // routes returns the addresses to keep links to: all hosts of the own failure
-// domain, and of each other domain all hosts if they are few, else one that
-// passes the news on. Seeds are dialled until they are heard of.
+// domain, and of each other domain all hosts if they are few, else one hub.
+// Jobs are told to all hosts of a small domain, and to one hub of a large one,
+// which passes them on. Seeds are dialled until they are heard of.
 func (t *hostTable) routes(now time.Time) map[netip.AddrPort]route {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -136,33 +138,45 @@
 		}
 	}
 	for domain, entries := range byDomain {
-		if domain == t.domain || len(entries) <= directHosts {
-			for _, e := range entries {
-				out[e.addr] = route{domain: domain}
+		own := domain == t.domain
+		few := len(entries) <= directHosts
+		hub, selfIsHub := t.hub(entries, own, now)
+		for _, e := range entries {
+			isHub := e.addr == hub && !few && !(own && selfIsHub)
+			if own || few || isHub {
+				out[e.addr] = route{domain: domain, jobs: few || isHub || (own && selfIsHub), passOn: isHub}
 			}
-			continue
-		}
-		if e := t.gateway(entries, now); e != nil {
-			out[e.addr] = route{domain: domain, passOn: true}
 		}
 	}
 	return out
 }
 
-// gateway chooses the host of another domain that passes this host's news on.
-// The choice is spread over that domain's hosts.
-func (t *hostTable) gateway(entries []*hostEntry, now time.Time) *hostEntry {
-	reachable := slices.DeleteFunc(slices.Clone(entries), func(e *hostEntry) bool {
-		return !e.failedAt.IsZero() && now.Sub(e.failedAt) < failureMemory
-	})
-	if len(reachable) == 0 {
-		return nil
+// hub chooses the host of a domain that passes this host's news on there, and
+// reports whether this host is a hub of its own domain. The hubs of a domain
+// are the first of an order that all hosts share, so that each bundles the news
+// of many hosts.
+func (t *hostTable) hub(entries []*hostEntry, own bool, now time.Time) (addr netip.AddrPort, selfIsHub bool) {
+	var candidates []netip.AddrPort
+	if own {
+		candidates = append(candidates, t.self)
+	}
+	for _, e := range entries {
+		if !e.failed(now) {
+			candidates = append(candidates, e.addr)
+		}
 	}
-	return slices.MinFunc(reachable, func(a, b *hostEntry) int { return cmp.Compare(t.distance(a.addr), t.distance(b.addr)) })
+	slices.SortFunc(candidates, func(a, b netip.AddrPort) int { return cmp.Compare(position(a), position(b)) })
+	hubs := candidates[:min(len(candidates), hubsPerDomain)]
+	if len(hubs) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return hubs[position(t.self)%uint64(len(hubs))], slices.Contains(hubs, t.self)
 }
 
-// distance orders hosts on a ring that begins at this host.
-func (t *hostTable) distance(a netip.AddrPort) uint64 { return position(a) - position(t.self) }
+// failed reports whether no connection to the host came up lately.
+func (e *hostEntry) failed(now time.Time) bool {
+	return !e.failedAt.IsZero() && now.Sub(e.failedAt) < failureMemory
+}
 
 // readers returns the addresses of the hosts of the own failure domain that
 // watch the store, this one possibly included.
@@ -171,8 +185,7 @@
 	defer t.mu.Unlock()
 	near := []netip.AddrPort{t.self}
 	for _, e := range t.hosts {
-		failed := !e.failedAt.IsZero() && now.Sub(e.failedAt) < failureMemory
-		if e.host.GetDomain() == t.domain && now.Sub(e.heardAt) < heartbeatTimeout && !failed {
+		if e.host.GetDomain() == t.domain && now.Sub(e.heardAt) < heartbeatTimeout && !e.failed(now) {
 			near = append(near, e.addr)
 		}
 	}
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -38,6 +38,7 @@
 	mu       sync.Mutex
 	up       bool
 	overflow bool
+	lazy     bool // the link will be roused
 	pending  *peerspb.News
 	queued   int
 }
@@ -51,7 +52,7 @@
 
 // queue adds an event to the next message. Without a connection nothing is
 // kept: the next one begins with all jobs in progress.
-func (l *link) queue(add func(*peerspb.News)) {
+func (l *link) queue(urgent bool, add func(*peerspb.News)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.up {
@@ -63,6 +64,17 @@
 	}
 	add(l.pending)
 	l.queued++
+	switch {
+	case urgent:
+		l.rouse()
+	case !l.lazy:
+		l.lazy = true
+		time.AfterFunc(bundle, l.rouse)
+	}
+}
+
+// rouse has the pending message sent.
+func (l *link) rouse() {
 	select {
 	case l.wake <- struct{}{}:
 	default: // it is awake
@@ -79,6 +91,7 @@
 	n := l.pending
 	l.pending = &peerspb.News{}
 	l.queued = 0
+	l.lazy = false
 	return n, nil
 }
 
@@ -93,6 +106,7 @@
 	defer l.mu.Unlock()
 	l.up = up
 	l.overflow = false
+	l.lazy = false
 	l.pending = &peerspb.News{}
 	l.queued = 0
 }
@@ -186,9 +200,11 @@
 // hello is the first message of a connection.
 func (l *link) hello() *peerspb.News {
 	s := l.service
-	n := &peerspb.News{From: s.self, Known: s.hosts.gossip(time.Time{}, time.Now()), PassOn: l.route.passOn}
-	for _, job := range s.cfg.Board.Local() {
-		n.Started = append(n.Started, encodeJob(job))
+	n := &peerspb.News{From: s.self, Known: s.hosts.gossip(time.Time{}, time.Now()), Jobs: l.route.jobs, PassOn: l.route.passOn}
+	if l.route.jobs {
+		for _, job := range s.cfg.Board.Local() {
+			n.Started = append(n.Started, encodeJob(job))
+		}
 	}
 	if l.route.domain == s.cfg.Domain {
 		n.Relayed = s.relayedSoFar()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -3,10 +3,10 @@
 // hosts know. All of it is a hint: a host that hears nothing still serves.
 //
 // Each host keeps a connection to every host of its failure domain and sends on
-// it; what peers send arrives on the connections that they opened. Of another
-// domain it reaches every host if they are few, else one that passes its news on
-// there, so that little crosses between domains. A connection carries one yamux
-// stream of length-delimited protobuf messages.
+// it; what peers send arrives on the connections that they opened. It tells its
+// jobs to every host of a small domain, and to one hub of a large one, which
+// bundles the news of many hosts and passes them on there. A connection carries
+// one yamux stream of length-delimited protobuf messages.
 //
 // Hosts also pass on what the store says: in a large domain a few of them watch
 // it, and the others ask these.
@@ -31,6 +31,8 @@
 const (
 	// coalesce is how long events wait for others to share a message.
 	coalesce = 2 * time.Millisecond
+	// bundle is how long news of other hosts wait for more to be passed on.
+	bundle = 12 * time.Millisecond
 	// heartbeatInterval is the time between messages without events.
 	heartbeatInterval = time.Second
 	// heartbeatTimeout is the silence after which a peer's news is dropped.
@@ -40,9 +42,11 @@
 	writeTimeout     = 2 * time.Second
 	// forgetAfter is how long an unreachable host is remembered.
 	forgetAfter = 2 * time.Minute
-	// directHosts is the size of another failure domain up to which all its
-	// hosts are told directly.
+	// directHosts is the number of other hosts of a failure domain up to which
+	// all of them are told directly.
 	directHosts = 4
+	// hubsPerDomain is how many hosts of a larger one pass news on.
+	hubsPerDomain = 3
 )
 
 // Crashes learns of requests that broke off at targets.
@@ -133,7 +137,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for addr, l := range s.links {
-		if r, ok := wanted[addr]; !ok || r.passOn != l.route.passOn {
+		if r, ok := wanted[addr]; !ok || r != l.route {
 			l.cancel()
 			delete(s.links, addr)
 		}
@@ -167,11 +171,14 @@
 	s.broadcast(func(n *peerspb.News) { n.Crashes = append(n.Crashes, c) })
 }
 
+// broadcast tells those that are told this host's jobs.
 func (s *Service) broadcast(add func(*peerspb.News)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.links {
-		l.queue(add)
+		if l.route.jobs {
+			l.queue(true, add)
+		}
 	}
 }
 
--- a/internal/peers/relayed.go
+++ b/internal/peers/relayed.go
@@ -2,10 +2,10 @@
 
 import "github.com/plantainrun/plantainrun/internal/peers/peerspb"
 
-// News between failure domains: a host tells one host of another domain, which
-// tells all others there.
+// News through hubs: a host tells one host of a large domain, which tells all
+// others there.
 
-// passOn tells the own failure domain what a host of another one said.
+// passOn tells the own failure domain what a host said.
 func (s *Service) passOn(r *peerspb.Relayed) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -16,7 +16,7 @@
 	}
 	for _, l := range s.links {
 		if l.route.domain == s.cfg.Domain {
-			l.queue(func(n *peerspb.News) { n.Relayed = append(n.Relayed, r) })
+			l.queue(false, func(n *peerspb.News) { n.Relayed = append(n.Relayed, r) })
 		}
 	}
 }
