Remove members that nothing uses

Read as a newcomer: an answer's Leaving, the relay's Drain with its refusal and an engine's HopCost had no reader.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -83,7 +83,6 @@
 	ReadPerSecond float64       // prompt tokens
 	PairsPerM     time.Duration // reading, for a million pairs of a token and an earlier one
 	Stride        int           // steps of one pass
-	HopCost       time.Duration // more for each step whose memory lies on several engines
 }
 
 // ReadTime is how long one engine reads a prompt on its own.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,7 +69,6 @@
 type Relay struct {
 	cfg       Config
 	settings  atomic.Pointer[Settings]
-	draining  atomic.Bool
 	active    atomic.Int64
 	crashes   *crashes
 	releasing releases
@@ -85,9 +84,6 @@
 // SetSettings replaces the settings for requests that arrive from now on.
 func (r *Relay) SetSettings(s Settings) { r.settings.Store(&s) }
 
-// Drain makes the relay refuse what it could not finish before it exits.
-func (r *Relay) Drain() { r.draining.Store(true) }
-
 // Active returns the number of requests in progress.
 func (r *Relay) Active() int { return int(r.active.Load()) }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -74,9 +74,7 @@
 	NotRun bool
 	// Misdirected means that another process holds the target's address.
 	Misdirected bool
-	// Leaving means that the target is about to end.
-	Leaving bool
-	Stream  bool // the body is a stream of events
+	Stream      bool // the body is a stream of events
 	// FaultAt is the address of the engine at fault, empty if not stated.
 	FaultAt string
 	Body    io.ReadCloser
