--- a/internal/peers/hosts.go
+++ b/internal/peers/hosts.go
@@ -142,7 +142,7 @@
 		few := len(entries) <= directHosts
 		hub, selfIsHub := t.hub(entries, own, now)
 		for _, e := range entries {
-			isHub := e.addr == hub && !few && !(own && selfIsHub)
+			isHub := e.addr == hub && !few && (!own || !selfIsHub)
 			if own || few || isHub {
 				out[e.addr] = route{domain: domain, jobs: few || isHub || (own && selfIsHub), passOn: isHub}
 			}
--- a/internal/placement/zones.go
+++ b/internal/placement/zones.go
@@ -46,11 +46,11 @@
 	n := float64(len(states))
 	keep := int(max(0, min(wanted, maxReaders*n, n-writers)))
 	ordered := slices.Clone(states)
-	slices.SortFunc(ordered, func(a, b *engineState) int { return cmp.Compare(rank(a), rank(b)) })
+	slices.SortFunc(ordered, func(a, b *engineState) int { return cmp.Compare(sharedOrder(a), sharedOrder(b)) })
 	for _, st := range ordered[:keep] {
 		st.reader = true
 	}
 }
 
-// rank is an engine's place in the order that all hosts share.
-func rank(st *engineState) uint64 { return xxhash.Sum64String(st.load.target.ID) }
+// sharedOrder is an engine's place in the order that all hosts share.
+func sharedOrder(st *engineState) uint64 { return xxhash.Sum64String(st.load.target.ID) }
