Pass changes of the store on compressed, and keep the links of busy readers

A configuration of some 250 routes is about 40 KB; a reader on a link of 20 Mbit/s owed it to a dozen hosts every 0.23 s. An answer that came too late also marked the reader as unreachable, which changed the hubs, closed links with answers on their way and had all jobs in progress sent again (one to three peers lost and found a second).

Change: values over 1 KB are compressed once per revision for all that ask; a host that is late with an answer is asked later, its links stay; a host whose view is older than the asker takes says so at once.

--- a/internal/peers/asking.go
+++ b/internal/peers/asking.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/plantainrun/plantainrun/internal/follow"
 	"github.com/plantainrun/plantainrun/internal/peers/peerspb"
 )
@@ -76,7 +78,7 @@
 func (s *Service) Ask(ctx context.Context, after follow.Revision, wait, maxAge time.Duration) (follow.Passed, error) {
 	err := follow.ErrNoPeer
 	for _, l := range s.askable() {
-		passed, askErr := s.askOne(ctx, l, after, wait)
+		passed, askErr := s.askOne(ctx, l, after, wait, maxAge)
 		if askErr == nil && time.Duration(passed.Age)*time.Millisecond <= maxAge {
 			s.answered.Store(l)
 			return passed, nil
@@ -91,22 +93,22 @@
 	return follow.Passed{}, err
 }
 
-func (s *Service) askOne(ctx context.Context, l *link, after follow.Revision, wait time.Duration) (follow.Passed, error) {
+func (s *Service) askOne(ctx context.Context, l *link, after follow.Revision, wait, maxAge time.Duration) (follow.Passed, error) {
 	nonce, answer := s.questions.open()
 	defer s.questions.close(nonce)
-	ask := &peerspb.Ask{Nonce: nonce, After: int64(after), WaitMs: uint32(wait.Milliseconds())}
+	ask := &peerspb.Ask{Nonce: nonce, After: int64(after), WaitMs: uint32(wait.Milliseconds()), MaxAgeMs: uint32(maxAge.Milliseconds())}
 	l.queue(true, func(n *peerspb.News) { n.Ask = append(n.Ask, ask) })
 	select {
 	case <-ctx.Done():
 		return follow.Passed{}, ctx.Err()
 	case <-time.After(wait + answerTimeout):
-		s.hosts.setReachable(l.addr, false, time.Now())
+		s.hosts.unanswered(l.addr, time.Now())
 		return follow.Passed{}, follow.ErrNoPeer
 	case p := <-answer:
 		if !p.GetKnown() {
 			return follow.Passed{}, follow.ErrNoPeer
 		}
-		return decodePassed(p), nil
+		return decodePassed(p)
 	}
 }
 
@@ -147,46 +149,43 @@
 	}()
 }
 
+// passed waits for a change and returns the answer to a peer. A view that is
+// too old for the peer is not worth its wait.
 func (s *Service) passed(ask *peerspb.Ask) *peerspb.Passed {
 	end := time.After(time.Duration(ask.GetWaitMs()) * time.Millisecond)
 	for {
 		changed := s.published.Changed()
 		p, known := s.published.Since(follow.Revision(ask.GetAfter()))
-		if !known || len(p.Entries) > 0 {
-			return encodePassed(ask.GetNonce(), known, p)
+		if !known || len(p.Entries) > 0 || p.Age > int64(ask.GetMaxAgeMs()) {
+			return s.encodePassed(ask.GetNonce(), known, p)
 		}
 		select {
 		case <-changed:
 		case <-end:
 			p, known = s.published.Since(follow.Revision(ask.GetAfter()))
-			return encodePassed(ask.GetNonce(), known, p)
+			return s.encodePassed(ask.GetNonce(), known, p)
 		}
 	}
 }
 
-func (s *Service) pass(to netip.AddrPort, p *peerspb.Passed) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if l := s.links[to]; l != nil {
-		l.queue(true, func(n *peerspb.News) { n.Passed = append(n.Passed, p) })
+// encodePassed returns the message for an answer; known is false if this host
+// does not know all that was asked for.
+func (s *Service) encodePassed(nonce uint64, known bool, p follow.Passed) *peerspb.Passed {
+	if !known {
+		return &peerspb.Passed{Nonce: nonce}
 	}
-}
-
-func encodePassed(nonce uint64, known bool, p follow.Passed) *peerspb.Passed {
-	out := &peerspb.Passed{Nonce: nonce, Known: known, Revision: int64(p.Revision), AgeMs: uint32(min(p.Age, maxAgeMillis))}
-	for _, e := range p.Entries {
-		out.Entries = append(out.Entries, &peerspb.Entry{Key: e.Key, Value: e.Value, Revision: int64(e.Revision), Removed: e.Removed})
+	out, err := s.deflater.passed(nonce, p)
+	if err != nil {
+		s.cfg.Log.Warn("change of the store not passed on", zap.Error(err))
+		return &peerspb.Passed{Nonce: nonce}
 	}
 	return out
 }
 
-// maxAgeMillis bounds an age on the wire.
-const maxAgeMillis = 1 << 31
-
-func decodePassed(p *peerspb.Passed) follow.Passed {
-	out := follow.Passed{Revision: follow.Revision(p.GetRevision()), Age: int64(p.GetAgeMs())}
-	for _, e := range p.GetEntries() {
-		out.Entries = append(out.Entries, follow.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: follow.Revision(e.GetRevision()), Removed: e.GetRemoved()})
+func (s *Service) pass(to netip.AddrPort, p *peerspb.Passed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.links[to]; l != nil {
+		l.queue(true, func(n *peerspb.News) { n.Passed = append(n.Passed, p) })
 	}
-	return out
 }
--- a/internal/peers/hosts.go
+++ b/internal/peers/hosts.go
@@ -27,9 +27,11 @@
 	heardAt  time.Time // by anyone
 	newAt    time.Time // when this host heard of it first
 	failedAt time.Time // when no connection came up, or one was lost
+	muteAt   time.Time // when it did not answer in time
 }
 
-// failureMemory is how long a host without a connection is passed over.
+// failureMemory is how long a host without a connection is passed over, and
+// one that did not answer is not asked first.
 const failureMemory = 8 * time.Second
 
 func newHostTable(self netip.AddrPort, domain string, seeds []netip.AddrPort) *hostTable {
@@ -76,6 +78,15 @@
 	}
 }
 
+// unanswered notes that a host did not answer in time. It is still told of jobs.
+func (t *hostTable) unanswered(addr netip.AddrPort, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.hosts[addr]; e != nil {
+		e.muteAt = now
+	}
+}
+
 // gossipSample is how many hosts a heartbeat names beside new ones.
 const gossipSample = 3
 
@@ -178,6 +189,11 @@
 	return !e.failedAt.IsZero() && now.Sub(e.failedAt) < failureMemory
 }
 
+// mute reports whether the host did not answer lately.
+func (e *hostEntry) mute(now time.Time) bool {
+	return !e.muteAt.IsZero() && now.Sub(e.muteAt) < failureMemory
+}
+
 // readers returns the addresses of the hosts of the own failure domain that
 // watch the store, this one possibly included.
 func (t *hostTable) readers(now time.Time) []netip.AddrPort {
@@ -185,7 +201,7 @@
 	defer t.mu.Unlock()
 	near := []netip.AddrPort{t.self}
 	for _, e := range t.hosts {
-		if e.host.GetDomain() == t.domain && now.Sub(e.heardAt) < heartbeatTimeout && !e.failed(now) {
+		if e.host.GetDomain() == t.domain && now.Sub(e.heardAt) < heartbeatTimeout && !e.failed(now) && !e.mute(now) {
 			near = append(near, e.addr)
 		}
 	}
--- /dev/null
+++ b/internal/peers/passed.go
@@ -0,0 +1,112 @@
+package peers
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/plantainrun/plantainrun/internal/follow"
+	"github.com/plantainrun/plantainrun/internal/peers/peerspb"
+)
+
+const (
+	// minDeflated is the size in bytes from which a value is compressed.
+	minDeflated = 1 << 10
+	// maxInflated bounds a value that a peer passes on, in bytes.
+	maxInflated = 64 << 20
+	// maxAgeMillis bounds an age on the wire.
+	maxAgeMillis = 1 << 31
+)
+
+// deflater compresses the values that this host passes on, each once for all
+// that ask. It is safe for concurrent use.
+type deflater struct {
+	mu     sync.Mutex
+	newest map[string]*peerspb.Entry // by key
+	writer *flate.Writer
+}
+
+// entry returns the message for a change.
+func (d *deflater) entry(e follow.Entry) (*peerspb.Entry, error) {
+	out := &peerspb.Entry{Key: e.Key, Value: e.Value, Revision: int64(e.Revision), Removed: e.Removed}
+	if len(e.Value) < minDeflated {
+		return out, nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if done := d.newest[e.Key]; done != nil && done.GetRevision() == int64(e.Revision) {
+		return done, nil
+	}
+	value, err := d.deflate(e.Value)
+	if err != nil {
+		return nil, err
+	}
+	out.Value = value
+	out.Deflated = true
+	d.newest[e.Key] = out
+	return out, nil
+}
+
+func (d *deflater) deflate(value []byte) ([]byte, error) {
+	var out bytes.Buffer
+	if d.writer == nil {
+		w, err := flate.NewWriter(&out, flate.BestSpeed)
+		if err != nil {
+			return nil, err
+		}
+		d.writer = w
+	}
+	d.writer.Reset(&out)
+	if _, err := d.writer.Write(value); err != nil {
+		return nil, err
+	}
+	if err := d.writer.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// inflate returns the value of a compressed entry.
+func inflate(value []byte) ([]byte, error) {
+	reader := flate.NewReader(bytes.NewReader(value))
+	defer reader.Close()
+	out, err := io.ReadAll(io.LimitReader(reader, maxInflated+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot read a value that a peer passed on, ask another one")
+	}
+	if len(out) > maxInflated {
+		return nil, eris.Errorf("a value that a peer passed on has over %d bytes, read the store", maxInflated)
+	}
+	return out, nil
+}
+
+func (d *deflater) passed(nonce uint64, p follow.Passed) (*peerspb.Passed, error) {
+	out := &peerspb.Passed{Nonce: nonce, Known: true, Revision: int64(p.Revision), AgeMs: uint32(min(p.Age, maxAgeMillis))}
+	for _, e := range p.Entries {
+		entry, err := d.entry(e)
+		if err != nil {
+			return nil, err
+		}
+		out.Entries = append(out.Entries, entry)
+	}
+	return out, nil
+}
+
+func decodePassed(p *peerspb.Passed) (follow.Passed, error) {
+	out := follow.Passed{Revision: follow.Revision(p.GetRevision()), Age: int64(p.GetAgeMs())}
+	for _, e := range p.GetEntries() {
+		value := e.GetValue()
+		if e.GetDeflated() {
+			inflated, err := inflate(value)
+			if err != nil {
+				return follow.Passed{}, err
+			}
+			value = inflated
+		}
+		out.Entries = append(out.Entries, follow.Entry{Key: e.GetKey(), Value: value, Revision: follow.Revision(e.GetRevision()), Removed: e.GetRemoved()})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/peers/passed_test.go
@@ -0,0 +1,24 @@
+package peers
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainrun/plantainrun/internal/peers/peerspb"
+)
+
+func TestACompressedValueIsReadAgain(t *testing.T) {
+	g := NewWithT(t)
+	d := deflater{newest: make(map[string]*peerspb.Entry)}
+	value := make([]byte, 100*minDeflated)
+	first, err := d.deflate(value)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(first)).To(BeNumerically("<", len(value)/10))
+	second, err := d.deflate([]byte("another"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(inflate(first)).To(Equal(value))
+	g.Expect(inflate(second)).To(BeEquivalentTo("another"))
+	_, err = inflate([]byte{0xff})
+	g.Expect(err).To(HaveOccurred())
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -73,6 +73,7 @@
 	published Published
 	hosts     *hostTable
 	questions questions
+	deflater  deflater
 	answered  atomic.Pointer[link] // whose answer was of use last
 	serving   atomic.Int64         // questions of peers that wait for a change
 
@@ -93,6 +94,7 @@
 		origins:   make(map[string]string),
 		passing:   make(map[string]bool),
 		questions: questions{waiting: make(map[uint64]chan *peerspb.Passed)},
+		deflater:  deflater{newest: make(map[string]*peerspb.Entry)},
 		links:     make(map[netip.AddrPort]*link),
 		inbound:   make(map[string]uint64),
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -186,3 +187,28 @@
 	g.Eventually(readers, wait).Should(Equal(2))
 	g.Expect(hosts[6].Reads()).To(BeTrue(), "the only host of a domain")
 }
+
+// A configuration is large and goes to many hosts.
+func TestALargeChangeIsPassedOnInFewBytes(t *testing.T) {
+	g := NewWithT(t)
+	hosts := fleet(t, "north", "north")
+	value := []byte(strings.Repeat(`{"name":"r-1","host":"a.example","path_prefix":"/a"},`, 4000))
+	hosts[1].passed = follow.Passed{Revision: 6, Age: 20, Entries: []follow.Entry{{Key: "k", Value: value, Revision: 6}}}
+	ask := func() (follow.Passed, error) {
+		return hosts[0].Ask(t.Context(), 5, 50*time.Millisecond, time.Second)
+	}
+	g.Eventually(ask, wait).Should(Equal(hosts[1].passed))
+}
+
+// An answer that is too old helps nobody, so it does not wait for a change.
+func TestAHostWithAnOldViewAnswersAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	hosts := fleet(t, "north", "north")
+	hosts[1].passed = follow.Passed{Revision: 5, Age: 5000}
+	g.Eventually(func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), wait)
+		defer cancel()
+		_, err := hosts[0].Ask(ctx, 5, time.Hour, time.Second)
+		return err
+	}, 2*wait).Should(MatchError(follow.ErrPeersOld))
+}
