Bound the age of what readers pass on by the users' bound

Cause: a watch that waits 1.5 s confirms the view as of when it was sent, so a reader's view is 1.5 to 3 s old in calm times.

Tests: at bounds of 2 and 3 s, a change arrives in time though the reader is cut off or no peer answers; in a calm minute no asker calls the store.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -86,7 +86,7 @@
 		HostID: settings.HostID, Domain: settings.Domain, Addr: settings.PeersAddr, Seeds: settings.Seeds, Board: h.board, Log: log,
 	})
 	h.board.Notify(h.peers)
-	h.follower = follow.New(follow.NewShared(adapter.Source, h.peers, log), log)
+	h.follower = follow.New(follow.NewShared(adapter.Source, h.peers, settings.ApplyWithin, log), log)
 	h.follower.OnChanged(h.forgetTargets)
 	h.metrics = newMetrics(h.follower)
 	h.relay = relay.New(relay.Config{
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -21,6 +21,8 @@
 
 	// GracePeriod is the time from the request to end until the process is killed.
 	GracePeriod time.Duration
+	// ApplyWithin is when a change in the store must be in force on every host.
+	ApplyWithin time.Duration
 	// RevokeWithin is when a removed key must not work any more, on every host;
 	// 0 if only hosts in touch with the store are bound.
 	RevokeWithin time.Duration
--- a/internal/follow/shared.go
+++ b/internal/follow/shared.go
@@ -10,22 +10,41 @@
 )
 
 const (
-	// freshAge is how old another host's view may be while the store can be
-	// read instead: a waiting watch leaves it no younger than watchWait.
-	freshAge = watchWait + 300*time.Millisecond
-	// maxPassedAge is how old it may be when the store cannot be read.
+	// maxPassedAge is how old another host's view may be when the store cannot
+	// be read.
 	maxPassedAge = 3300 * time.Millisecond
-	// passedWait is how long another host, or the store in its place, may wait
-	// for a change.
-	passedWait = 400 * time.Millisecond
-	// askTimeout is the time for asking other hosts before the store is read.
-	askTimeout = 900 * time.Millisecond
 	// directTimeout is the time for the store's answer beyond the wait of a watch.
 	directTimeout = 700 * time.Millisecond
 	// failureMemory is how long after a failed call other hosts are asked first.
 	failureMemory = time.Second
 )
 
+// limits are the times that keep a change within the bound for it to be in
+// force, though the host that reads the store for others is cut off from it.
+type limits struct {
+	// readerWait is how long the watch of a host that others ask may wait. Its
+	// view is up to twice as old when the next one ends.
+	readerWait time.Duration
+	// freshAge is how old another host's view may be while the store can be
+	// read instead.
+	freshAge time.Duration
+	// passedWait is how long another host, or the store in its place, may wait
+	// for a change.
+	passedWait time.Duration
+	// askTimeout is the time for asking other hosts before the store is read.
+	askTimeout time.Duration
+}
+
+func limitsFor(bound time.Duration) limits {
+	readerWait := bound / 4
+	return limits{
+		readerWait: readerWait,
+		freshAge:   2*readerWait + 100*time.Millisecond,
+		passedWait: bound / 8,
+		askTimeout: bound * 3 / 10,
+	}
+}
+
 // ErrNoPeer means that no other host can answer.
 var ErrNoPeer = errors.New("no other host can tell what is published: read the store")
 
@@ -36,6 +55,8 @@
 type Peers interface {
 	// Reads reports whether this host is one of those that read the store.
 	Reads() bool
+	// Asked reports whether other hosts rely on what this one reads.
+	Asked() bool
 	// Ask asks other hosts for the changes after a revision, with a view of at
 	// most maxAge. It returns ErrNoPeer, ErrPeersOld, or the context's error.
 	Ask(ctx context.Context, after Revision, wait, maxAge time.Duration) (Passed, error)
@@ -46,17 +67,19 @@
 // store turns away ask as well.
 type Shared struct {
 	Source
-	peers Peers
-	log   *zap.Logger
+	peers  Peers
+	limits limits
+	log    *zap.Logger
 
 	mu       sync.Mutex
 	failedAt time.Time // of the newest failed call to the store
 	from     string    // where the last answer came from, for the log
 }
 
-// NewShared returns a source that shares the watches of direct among peers.
-func NewShared(direct Source, peers Peers, log *zap.Logger) *Shared {
-	return &Shared{Source: direct, peers: peers, log: log}
+// NewShared returns a source that shares the watches of direct among peers. A
+// change must be in force within bound.
+func NewShared(direct Source, peers Peers, bound time.Duration, log *zap.Logger) *Shared {
+	return &Shared{Source: direct, peers: peers, limits: limitsFor(bound), log: log}
 }
 
 // answeredBy notes a change of where answers come from.
@@ -72,7 +95,7 @@
 
 // Watch returns the changes after a revision from the store or another host.
 func (s *Shared) Watch(ctx context.Context, after Revision, wait time.Duration) (Listing, error) {
-	q := question{began: time.Now(), after: after, wait: min(wait, passedWait)}
+	q := question{began: time.Now(), after: after, wait: min(wait, s.limits.passedWait)}
 	var cause error
 	if !s.peers.Reads() || s.failedLately() {
 		listing, err := s.askFirst(ctx, q)
@@ -83,6 +106,9 @@
 		cause = err
 		wait = q.wait // time has passed since the view was confirmed
 	}
+	if s.peers.Asked() {
+		wait = min(wait, s.limits.readerWait)
+	}
 	listing, err := s.direct(ctx, after, wait)
 	if err == nil || errors.Is(err, ErrHistoryGone) {
 		s.answeredBy("store", cause)
@@ -123,9 +149,9 @@
 
 // askFirst asks other hosts while there is time left to read the store.
 func (s *Shared) askFirst(ctx context.Context, q question) (Listing, error) {
-	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	askCtx, cancel := context.WithTimeout(ctx, s.limits.askTimeout)
 	defer cancel()
-	return s.ask(askCtx, q, freshAge)
+	return s.ask(askCtx, q, s.limits.freshAge)
 }
 
 func (s *Shared) ask(ctx context.Context, q question, maxAge time.Duration) (Listing, error) {
--- a/internal/follow/shared_test.go
+++ b/internal/follow/shared_test.go
@@ -22,6 +22,7 @@
 }
 
 func (p *peers) Reads() bool { return p.reads }
+func (p *peers) Asked() bool { return p.reads }
 func (p *peers) Ask(ctx context.Context, after follow.Revision, wait, maxAge time.Duration) (follow.Passed, error) {
 	p.asked++
 	if p.other == nil {
@@ -85,7 +86,7 @@
 		go reader.Run(ctx)
 		time.Sleep(10 * time.Millisecond)
 		direct := &lagging{store: s}
-		asker := follow.New(follow.NewShared(direct, &peers{other: reader}, zap.NewNop()), zap.NewNop())
+		asker := follow.New(follow.NewShared(direct, &peers{other: reader}, applyBound, zap.NewNop()), zap.NewNop())
 		go asker.Run(ctx)
 		time.Sleep(10 * time.Millisecond)
 		s.put(version(9))
@@ -108,7 +109,7 @@
 		go reader.Run(ctx)
 		time.Sleep(10 * time.Millisecond)
 		direct := &lagging{store: s, away: true}
-		turnedAway := follow.New(follow.NewShared(direct, &peers{reads: true, other: reader}, zap.NewNop()), zap.NewNop())
+		turnedAway := follow.New(follow.NewShared(direct, &peers{reads: true, other: reader}, applyBound, zap.NewNop()), zap.NewNop())
 		go turnedAway.Run(ctx)
 		time.Sleep(10 * time.Millisecond)
 		s.put(version(9))
@@ -125,7 +126,7 @@
 		s := newStore()
 		s.put(version(7))
 		direct := &lagging{store: s}
-		f := follow.New(follow.NewShared(direct, &peers{}, zap.NewNop()), zap.NewNop())
+		f := follow.New(follow.NewShared(direct, &peers{}, applyBound, zap.NewNop()), zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go f.Run(ctx)
@@ -161,22 +162,31 @@
 	})
 }
 
-// applyBound is the users' bound for a configuration to be in force.
+// applyBound is the users' bound for a configuration to be in force on most sites.
 const applyBound = 3 * time.Second
 
+// forBounds plays a test at the bounds of several sites.
+func forBounds(t *testing.T, play func(*testing.T, time.Duration)) {
+	for _, bound := range []time.Duration{2 * time.Second, applyBound} {
+		t.Run(bound.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { play(t, bound) })
+		})
+	}
+}
+
 // The host that reads the store for others is cut off from it.
 func TestAChangeArrivesInTimeThoughTheReaderIsCutOff(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	forBounds(t, func(t *testing.T, bound time.Duration) {
 		g := NewWithT(t)
 		s := newStore()
 		s.put(version(7))
 		cut := &lagging{store: s}
-		reader := follower(cut)
+		reader := follower(follow.NewShared(cut, &peers{reads: true}, bound, zap.NewNop()))
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go reader.Run(ctx)
 		time.Sleep(10 * time.Millisecond)
-		asker := follower(follow.NewShared(&lagging{store: s}, &peers{other: reader}, zap.NewNop()))
+		asker := follower(follow.NewShared(&lagging{store: s}, &peers{other: reader}, bound, zap.NewNop()))
 		go asker.Run(ctx)
 		time.Sleep(4 * time.Second)
 		s.put(registration("a", false)) // ends the reader's waiting watch
@@ -185,26 +195,46 @@
 		s.put(registration("b", false)) // ends a short one, so its view is young
 		time.Sleep(10 * time.Millisecond)
 		s.put(version(9))
-		time.Sleep(applyBound)
+		time.Sleep(bound)
 		g.Expect(asker.View().Config.Version).To(BeEquivalentTo(9))
 	})
 }
 
 // The hosts that read the store are so slow that no answer comes in time.
 func TestAChangeArrivesInTimeThoughNoPeerAnswers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	forBounds(t, func(t *testing.T, bound time.Duration) {
 		g := NewWithT(t)
 		s := newStore()
 		s.put(version(7))
-		asker := follower(follow.NewShared(&lagging{store: s}, silent{}, zap.NewNop()))
+		asker := follower(follow.NewShared(&lagging{store: s}, silent{}, bound, zap.NewNop()))
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go asker.Run(ctx)
 		time.Sleep(10 * time.Second)
 		s.put(version(9))
-		time.Sleep(applyBound)
+		time.Sleep(bound)
 		g.Expect(asker.View().Config.Version).To(BeEquivalentTo(9))
-		g.Expect(asker.Age()).To(BeNumerically("<", applyBound))
+		g.Expect(asker.Age()).To(BeNumerically("<", bound))
+	})
+}
+
+// While nothing happens, only the readers call the store.
+func TestACalmReaderIsFreshEnoughForTheOthers(t *testing.T) {
+	forBounds(t, func(t *testing.T, bound time.Duration) {
+		g := NewWithT(t)
+		s := newStore()
+		s.put(version(7))
+		reader := follower(follow.NewShared(&lagging{store: s}, &peers{reads: true}, bound, zap.NewNop()))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go reader.Run(ctx)
+		time.Sleep(10 * time.Millisecond)
+		direct := &lagging{store: s}
+		asker := follower(follow.NewShared(direct, &peers{other: reader}, bound, zap.NewNop()))
+		go asker.Run(ctx)
+		time.Sleep(time.Minute)
+		g.Expect(direct.watches.Load()).To(BeZero())
+		g.Expect(asker.Age()).To(BeNumerically("<", bound))
 	})
 }
 
@@ -212,6 +242,7 @@
 type silent struct{}
 
 func (silent) Reads() bool { return false }
+func (silent) Asked() bool { return false }
 func (silent) Ask(ctx context.Context, _ follow.Revision, _, _ time.Duration) (follow.Passed, error) {
 	<-ctx.Done()
 	return follow.Passed{}, ctx.Err()
--- a/internal/peers/asking.go
+++ b/internal/peers/asking.go
@@ -24,6 +24,9 @@
 	answerTimeout = 300 * time.Millisecond
 	// maxAsked is how many hosts are asked one after the other.
 	maxAsked = 4
+	// askedMemory is how long after a question other hosts may still rely on
+	// this one.
+	askedMemory = 2 * time.Second
 	// maxWaiting bounds the questions that wait for a change at a time.
 	maxWaiting = 256
 )
@@ -72,6 +75,12 @@
 	return slices.Contains(s.hosts.readers(time.Now()), s.cfg.Addr)
 }
 
+// Asked reports whether a peer asked lately.
+func (s *Service) Asked() bool {
+	at := s.askedAt.Load()
+	return at != 0 && time.Since(time.Unix(0, at)) < askedMemory
+}
+
 // Ask asks hosts until one has a view of at most maxAge: the one that had it
 // last, those of the own failure domain that watch the store, then others. It
 // implements follow.Peers.
@@ -138,6 +147,7 @@
 
 // serveAsk answers a peer once there is a change, or after its wait.
 func (s *Service) serveAsk(from netip.AddrPort, ask *peerspb.Ask) {
+	s.askedAt.Store(time.Now().UnixNano())
 	if s.serving.Add(1) > maxWaiting {
 		s.serving.Add(-1)
 		s.pass(from, &peerspb.Passed{Nonce: ask.GetNonce()})
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -76,6 +76,7 @@
 	deflater  deflater
 	answered  atomic.Pointer[link] // whose answer was of use last
 	serving   atomic.Int64         // questions of peers that wait for a change
+	askedAt   atomic.Int64         // when the last one came, Unix nanoseconds, 0: never
 
 	mu       sync.Mutex
 	links    map[netip.AddrPort]*link
