Send fewer messages between hosts where no news of jobs flows

Cause: a fleet of 82 in one process (BenchmarkFleet, 3 domains, two jobs a host and second) sends 60 messages a host and second; 28 to 36 of them are heartbeats on the 26 links within a domain, of which two or three carry news of jobs. Ruled out by counting: the hubs (17.5 of the 60; bundling for 25 ms in place of 12 saved nothing that could be measured).

Change: a link that carries no news of jobs is silent for 3 s, a busy one sends no heartbeat while events show that the host lives; new hosts are still named within a second. A frame's header goes out with its body in one write, and the read deadline is the connection's, which takes no timer a message.

--- a/internal/peers/accept.go
+++ b/internal/peers/accept.go
@@ -37,7 +37,7 @@
 
 func (s *Service) serveConn(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := yamux.Server(&frameConn{Conn: conn}, sessionConfig())
 	if err != nil {
 		s.cfg.Log.Warn("connection of a peer not served", zap.Error(err))
 		return
@@ -49,7 +49,7 @@
 	if err != nil {
 		return // closed before it said anything
 	}
-	in, err := s.receive(stream)
+	in, err := s.receive(conn, stream)
 	if in == nil {
 		s.cfg.Log.Warn("connection of a peer refused", zap.Error(err))
 		return
@@ -76,13 +76,16 @@
 }
 
 // receive applies a peer's messages until the connection fails or falls silent.
-func (s *Service) receive(stream net.Conn) (*inbound, error) {
+// The deadline is the connection's: it carries this stream only, and a deadline
+// of the stream takes a timer for each message.
+func (s *Service) receive(conn, stream net.Conn) (*inbound, error) {
 	reader := bufio.NewReader(stream)
 	opts := protodelim.UnmarshalOptions{MaxSize: maxMessage}
 	var from *peerspb.Host
 	var in *inbound
+	silence := heartbeatTimeout
 	for {
-		if err := stream.SetReadDeadline(time.Now().Add(heartbeatTimeout)); err != nil {
+		if err := conn.SetReadDeadline(time.Now().Add(silence)); err != nil {
 			return in, err
 		}
 		news := &peerspb.News{}
@@ -95,6 +98,9 @@
 				return nil, errNoHello
 			}
 			in = s.openInbound(news)
+			if !in.jobs && !in.passOn {
+				silence = quietHeartbeatTimeout
+			}
 		}
 		s.hosts.heard(from, time.Now())
 		s.apply(from, news)
--- /dev/null
+++ b/internal/peers/fleet_bench_test.go
@@ -0,0 +1,98 @@
+package peers_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/peers"
+	"github.com/plantainrun/plantainrun/internal/placement"
+)
+
+const (
+	benchDomains = 3
+	// jobsPerHost is how many jobs a host places in a second.
+	jobsPerHost = 2
+	jobLength   = 300 * time.Millisecond
+)
+
+// BenchmarkFleet measures what a host's exchange with others costs as the fleet
+// grows: processor time and bytes sent per host and second.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []int{6, 30, 82} {
+		for _, jobs := range []float64{0, jobsPerHost} {
+			b.Run(fmt.Sprintf("hosts=%d/jobs=%v", size, jobs), func(b *testing.B) { benchFleet(b, size, jobs) })
+		}
+	}
+}
+
+func benchFleet(b *testing.B, size int, jobs float64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var boards []*placement.Board
+	var services []*peers.Service
+	seed := netip.MustParseAddrPort("127.0.0.1:21000")
+	for i := range size {
+		h := &host{changed: make(chan struct{})}
+		h.board = placement.NewBoard(time.Now, uint64(i))
+		s := peers.New(peers.Config{
+			HostID: fmt.Sprint(i), Domain: fmt.Sprint(i % benchDomains), Addr: netip.AddrPortFrom(seed.Addr(), uint16(21000+i)),
+			Seeds: []netip.AddrPort{seed}, Board: h.board, Log: zap.NewNop(),
+		})
+		s.Connect(h, h)
+		h.board.Notify(s)
+		if err := s.Start(ctx); err != nil {
+			b.Fatal(err)
+		}
+		boards = append(boards, h.board)
+		services = append(services, s)
+	}
+	for _, s := range services {
+		for s.Known() < size {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	began, used := time.Now(), processorTime()
+	if jobs > 0 {
+		interval := time.Duration(float64(time.Second) / jobs)
+		for _, board := range boards {
+			go placeJobs(ctx, board, interval)
+		}
+	}
+	const measured = 5 * time.Second
+	for range b.N {
+		time.Sleep(measured)
+	}
+	elapsed := time.Since(began).Seconds()
+	b.ReportMetric((processorTime()-used).Seconds()*1000/elapsed/float64(size), "cpu-ms/host/s")
+	b.ReportMetric(0, "ns/op")
+}
+
+func placeJobs(ctx context.Context, board *placement.Board, interval time.Duration) {
+	targets := []catalog.Target{{TargetKey: catalog.TargetKey{ID: "t"}, Service: "orders", Slots: 1 << 20}}
+	for ctx.Err() == nil {
+		time.Sleep(interval)
+		p, err := board.Place(placement.Need{Service: "orders"}, targets)
+		if err != nil {
+			continue
+		}
+		time.AfterFunc(jobLength/2, p.FirstEvent)
+		time.AfterFunc(jobLength, func() { p.End(placement.Served) })
+	}
+}
+
+// processorTime is what this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/peers/hosts.go
+++ b/internal/peers/hosts.go
@@ -107,6 +107,18 @@
 	return out
 }
 
+// heardOfNew reports whether a host was first heard of after a time.
+func (t *hostTable) heardOfNew(since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.hosts {
+		if e.newAt.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // count is the number of hosts that are not forgotten yet.
 func (t *hostTable) count(now time.Time) int {
 	t.mu.Lock()
@@ -130,6 +142,9 @@
 	passOn bool // the host there tells its failure domain
 }
 
+// carries reports whether news of jobs goes there.
+func (r route) carries() bool { return r.jobs || r.passOn }
+
 // routes returns the addresses to keep links to: all hosts of the own failure
 // domain, and of each other domain all hosts if they are few, else one hub.
 // Jobs are told to all hosts of a small domain, and to one hub of a large one,
@@ -201,7 +216,7 @@
 	defer t.mu.Unlock()
 	near := []netip.AddrPort{t.self}
 	for _, e := range t.hosts {
-		if e.host.GetDomain() == t.domain && now.Sub(e.heardAt) < heartbeatTimeout && !e.failed(now) && !e.mute(now) {
+		if e.host.GetDomain() == t.domain && now.Sub(e.heardAt) < quietHeartbeatTimeout && !e.failed(now) && !e.mute(now) {
 			near = append(near, e.addr)
 		}
 	}
--- a/internal/peers/hosts_test.go
+++ b/internal/peers/hosts_test.go
@@ -36,3 +36,23 @@
 		}
 	}
 }
+
+// What a link without news of jobs sends grows with the domain, so it is
+// silent for longer; all links tell of a new host at once.
+func TestHeartbeatsAreRareWhereNoNewsFlows(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	s := &Service{hosts: tableOf(8, now)}
+	carrier := &link{service: s, route: route{jobs: true}}
+	quiet := &link{service: s}
+	due := func(l *link, silent, gossiped time.Duration) bool {
+		return l.heartbeatDue(now.Add(time.Minute), now.Add(time.Minute-silent), now.Add(time.Minute-gossiped))
+	}
+	g.Expect(due(carrier, heartbeatInterval, heartbeatInterval)).To(BeTrue())
+	g.Expect(due(carrier, 0, heartbeatInterval)).To(BeFalse(), "events show that the host lives")
+	g.Expect(due(carrier, 0, quietHeartbeatInterval)).To(BeTrue(), "hosts are named all the same")
+	g.Expect(due(quiet, heartbeatInterval, heartbeatInterval)).To(BeFalse())
+	g.Expect(due(quiet, quietHeartbeatInterval, quietHeartbeatInterval)).To(BeTrue())
+	s.hosts.heard(&peerspb.Host{Id: "new", Addr: "192.0.2.99:80", Domain: "south"}, now.Add(time.Minute))
+	g.Expect(due(quiet, 0, heartbeatInterval)).To(BeTrue())
+}
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -139,7 +139,7 @@
 		return err
 	}
 	defer conn.Close()
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(&frameConn{Conn: conn}, sessionConfig())
 	if err != nil {
 		return err
 	}
@@ -159,36 +159,52 @@
 	return l.sendAll(ctx, stream)
 }
 
-// sendAll sends queued events, and a heartbeat where there are none.
+// sendAll sends queued events, and heartbeats.
 func (l *link) sendAll(ctx context.Context, stream net.Conn) error {
-	heartbeat := time.NewTicker(heartbeatInterval)
-	defer heartbeat.Stop()
-	gossiped := time.Now()
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	sent := time.Now()
+	gossiped := sent
 	for {
-		known := false
+		heartbeat := false
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-l.wake:
 			time.Sleep(coalesce)
-		case <-heartbeat.C:
-			known = true
+		case now := <-ticker.C:
+			if heartbeat = l.heartbeatDue(now, sent, gossiped); !heartbeat {
+				continue
+			}
 		}
 		news, err := l.take()
 		if err != nil {
 			return err
 		}
-		if known {
-			now := time.Now()
+		now := time.Now()
+		if heartbeat {
 			news.Known = l.service.hosts.gossip(gossiped, now)
 			gossiped = now
 		}
 		if err := l.send(stream, news); err != nil {
 			return err
 		}
+		sent = now
 	}
 }
 
+// heartbeatDue reports whether a message is due whether or not there are events:
+// the peer drops what it knows of a silent host, and wants to hear of new hosts.
+func (l *link) heartbeatDue(now, sent, gossiped time.Time) bool {
+	silence := quietHeartbeatInterval
+	if l.route.carries() {
+		silence = heartbeatInterval
+	}
+	return now.Sub(sent) > silence-heartbeatInterval/2 ||
+		now.Sub(gossiped) >= quietHeartbeatInterval ||
+		l.service.hosts.heardOfNew(gossiped)
+}
+
 func (l *link) send(stream net.Conn, news *peerspb.News) error {
 	if err := stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -33,13 +33,18 @@
 	coalesce = 2 * time.Millisecond
 	// bundle is how long news of other hosts wait for more to be passed on.
 	bundle = 12 * time.Millisecond
-	// heartbeatInterval is the time between messages without events.
+	// heartbeatInterval is the time between messages on a connection that
+	// carries news of jobs.
 	heartbeatInterval = time.Second
 	// heartbeatTimeout is the silence after which a peer's news is dropped.
 	heartbeatTimeout = 3500 * time.Millisecond
-	upkeepInterval   = 500 * time.Millisecond
-	dialTimeout      = 600 * time.Millisecond
-	writeTimeout     = 2 * time.Second
+	// quietHeartbeatInterval and quietHeartbeatTimeout are the same for a
+	// connection that carries none.
+	quietHeartbeatInterval = 3 * heartbeatInterval
+	quietHeartbeatTimeout  = 3 * heartbeatTimeout
+	upkeepInterval         = 500 * time.Millisecond
+	dialTimeout            = 600 * time.Millisecond
+	writeTimeout           = 2 * time.Second
 	// forgetAfter is how long an unreachable host is remembered.
 	forgetAfter = 2 * time.Minute
 	// directHosts is the number of other hosts of a failure domain up to which
