Fuzz what hosts know of the store, and tell how a target left

A fleet of five hosts, two of which read the store for the others, in virtual time: configurations singly and in series, targets that register, leave and go, ways to the store refused or hung, hosts that hear nobody, dropped history, an outage. The oracle is the list of published states. No host goes back, none says that its view is younger than it is, each in touch has a change within the bound (2 and 3 s), a target is not used for longer than the time it may come back in, and in the end all know the same.

Found on reading: with only the newest change of a key a host that was behind no longer learned that a target had said that it leaves before it went, and kept it for 2.2 s; removals now leave the change before them in place (test added).

--- a/internal/follow/apply.go
+++ b/internal/follow/apply.go
@@ -29,9 +29,10 @@
 		f.revision = listing.Revision
 	}
 	f.away = false
-	f.confirmed.Store(max(f.confirmed.Load(), int64(sent-listing.Age)))
 	f.history.record(listing, complete)
 	f.publishLocked(changed)
+	// Who reads the age before the view never takes an old view for a new one.
+	f.confirmed.Store(max(f.confirmed.Load(), int64(sent-listing.Age)))
 	f.mu.Unlock()
 	if catchingUp {
 		f.log.Info("store regained", zap.Int64("revision", int64(listing.Revision)))
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -35,7 +35,7 @@
 	defer s.mu.Unlock()
 	s.revision++
 	c.Revision = s.revision
-	c.Entry = follow.Entry{Key: "target/" + c.TargetID, Revision: s.revision}
+	c.Entry = follow.Entry{Key: "target/" + c.TargetID, Revision: s.revision, Removed: c.Config == nil && c.Target == nil}
 	if c.Config != nil {
 		c.Entry.Key = "config"
 	}
--- /dev/null
+++ b/internal/follow/fuzz_test.go
@@ -0,0 +1,402 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/plantainrun/plantainrun/internal/follow"
+)
+
+const (
+	fleetReaders = 2
+	fleetHosts   = 5
+	// keptInDoubt is how long a target that may only have lapsed is kept, with
+	// the time to notice.
+	keptInDoubt = 2500 * time.Millisecond
+	// peerDelay is the time that a message between hosts takes.
+	peerDelay = 5 * time.Millisecond
+)
+
+// Ways to the store.
+const (
+	pathOpen int32 = iota
+	pathRefused
+	pathHung
+)
+
+// member is one host of the fleet.
+type member struct {
+	*store
+	world    *fleetWorld
+	index    int
+	follower *follow.Follower
+	path     atomic.Int32
+	deaf     atomic.Bool // cut off from other hosts
+	cutUntil time.Time   // when its way to the store was last not open
+	newest   int64       // version seen in force
+	// departures are when the host's view first covered each.
+	departures map[departure]time.Time
+}
+
+func (m *member) Watch(ctx context.Context, after follow.Revision, wait time.Duration) (follow.Listing, error) {
+	if err := m.blocked(ctx); err != nil {
+		return follow.Listing{}, err
+	}
+	return m.store.Watch(ctx, after, wait)
+}
+
+func (m *member) List(ctx context.Context) (follow.Listing, error) {
+	if err := m.blocked(ctx); err != nil {
+		return follow.Listing{}, err
+	}
+	return m.store.List(ctx)
+}
+
+func (m *member) blocked(ctx context.Context) error {
+	switch m.path.Load() {
+	case pathRefused:
+		return errors.New("refused")
+	case pathHung:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (m *member) Decode(e follow.Entry) follow.Change {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.changes {
+		if c.Revision == e.Revision {
+			c.Entry = e
+			return c
+		}
+	}
+	return follow.Change{Entry: e, Revision: e.Revision}
+}
+
+func (m *member) Reads() bool { return m.index < fleetReaders }
+func (m *member) Asked() bool { return m.Reads() }
+
+// Ask asks the readers, then the others.
+func (m *member) Ask(ctx context.Context, after follow.Revision, wait, maxAge time.Duration) (follow.Passed, error) {
+	err := follow.ErrNoPeer
+	for _, other := range m.world.members {
+		if other == m || m.deaf.Load() || other.deaf.Load() {
+			continue
+		}
+		passed, known := other.answer(ctx, after, wait, maxAge)
+		switch {
+		case ctx.Err() != nil:
+			return follow.Passed{}, ctx.Err()
+		case known && time.Duration(passed.Age)*time.Millisecond <= maxAge:
+			return passed, nil
+		case known:
+			err = follow.ErrPeersOld
+		}
+	}
+	return follow.Passed{}, err
+}
+
+func (m *member) answer(ctx context.Context, after follow.Revision, wait, maxAge time.Duration) (follow.Passed, bool) {
+	end := time.After(wait)
+	for {
+		changed := m.follower.Changed()
+		passed, known := m.follower.Since(after)
+		if !known || len(passed.Entries) > 0 || time.Duration(passed.Age)*time.Millisecond > maxAge {
+			time.Sleep(peerDelay)
+			return passed, known
+		}
+		select {
+		case <-ctx.Done():
+			return passed, false
+		case <-changed:
+		case <-end:
+			passed, known = m.follower.Since(after)
+			time.Sleep(peerDelay)
+			return passed, known
+		}
+	}
+}
+
+// departure is when a target left.
+type departure struct {
+	target string
+	at     time.Time
+}
+
+// learned returns when the host's view first covered a departure, or was last
+// able to find out whether the target comes back.
+func (m *member) learned(target string, left, confirmed time.Time) time.Time {
+	now := time.Now()
+	if !left.Before(confirmed) {
+		return now
+	}
+	d := departure{target: target, at: left}
+	if m.departures[d].IsZero() {
+		m.departures[d] = now
+	}
+	able := m.cutUntil.Add(m.world.bound)
+	if able.After(m.departures[d]) {
+		return able
+	}
+	return m.departures[d]
+}
+
+// published is a state of the store and when it came to be.
+type published struct {
+	at      time.Time
+	version int64
+	leaving map[string]bool // by target that is registered
+}
+
+// fleetWorld is a store, hosts that share its news, and the oracle.
+type fleetWorld struct {
+	store   *store
+	members []*member
+	bound   time.Duration
+
+	mu      sync.Mutex
+	version int64
+	leaving map[string]bool
+	states  []published
+}
+
+func newFleetWorld(ctx context.Context, bound time.Duration) *fleetWorld {
+	w := &fleetWorld{store: newStore(), bound: bound, leaving: make(map[string]bool)}
+	w.publish()
+	for i := range fleetHosts {
+		m := &member{store: w.store, world: w, index: i, departures: make(map[departure]time.Time)}
+		m.follower = follower(follow.NewShared(m, m, bound, zap.NewNop()))
+		w.members = append(w.members, m)
+	}
+	for _, m := range w.members {
+		go m.follower.Run(ctx)
+	}
+	return w
+}
+
+// publish puts the next version in the store.
+func (w *fleetWorld) publish() {
+	w.version++
+	w.store.put(version(w.version))
+	w.note()
+}
+
+func (w *fleetWorld) register(id string, leaving bool) {
+	w.leaving[id] = leaving
+	w.store.put(registration(id, leaving))
+	w.note()
+}
+
+func (w *fleetWorld) remove(id string) {
+	delete(w.leaving, id)
+	w.store.put(removal(id))
+	w.note()
+}
+
+func (w *fleetWorld) note() {
+	leaving := make(map[string]bool)
+	for id, l := range w.leaving {
+		leaving[id] = l
+	}
+	w.states = append(w.states, published{at: time.Now(), version: w.version, leaving: leaving})
+}
+
+// at returns the state just before a time.
+func (w *fleetWorld) at(t time.Time) published {
+	state := w.states[0]
+	for _, s := range w.states {
+		if s.at.Before(t) {
+			state = s
+		}
+	}
+	return state
+}
+
+// lastUsable returns when a target was last registered and not leaving.
+func (w *fleetWorld) lastUsable(id string) time.Time {
+	var last time.Time
+	for i, s := range w.states {
+		leaving, registered := s.leaving[id]
+		if !registered || leaving {
+			continue
+		}
+		last = time.Now()
+		if i+1 < len(w.states) {
+			last = w.states[i+1].at
+		}
+	}
+	return last
+}
+
+// check compares each host with what it may know.
+func (w *fleetWorld) check(fail func(string, ...any)) {
+	now := time.Now()
+	for _, m := range w.members {
+		age := m.follower.Age() // before the view, which may be replaced meanwhile
+		view := m.follower.View()
+		if view.Config == nil {
+			continue
+		}
+		got := view.Config.Version
+		if got < m.newest {
+			fail("host %d went back from version %d to %d", m.index, m.newest, got)
+		}
+		m.newest = got
+		if vouched := w.at(now.Add(-age)).version; got < vouched {
+			fail("host %d says its view is %v old, but version %d, not %d, was in force then", m.index, age, vouched, got)
+		}
+		if m.path.Load() == pathOpen && now.Sub(m.cutUntil) > 2*w.bound && got < w.at(now.Add(-w.bound)).version {
+			fail("host %d is in touch with the store and has version %d, %d is older than %v", m.index, got, w.at(now.Add(-w.bound)).version, w.bound)
+		}
+		for _, target := range view.Targets("llm") {
+			if kept := now.Sub(m.learned(target.ID, w.lastUsable(target.ID), now.Add(-age))); kept > keptInDoubt {
+				fail("host %d uses target %s %v after it knew that it left", m.index, target.ID, kept)
+			}
+		}
+	}
+}
+
+// step is one event of a run.
+type step struct {
+	what  string
+	host  int
+	pause time.Duration
+}
+
+var stepKinds = []string{"publish", "publish", "storm", "register", "leave", "remove", "refuse", "hang", "open", "deafen", "hear", "compact", "down", "up", "wait"}
+
+func drawStep(t *rapid.T) step {
+	return step{
+		what:  rapid.SampledFrom(stepKinds).Draw(t, "what"),
+		host:  rapid.IntRange(0, fleetHosts-1).Draw(t, "host"),
+		pause: time.Duration(rapid.IntRange(1, 1500).Draw(t, "pause")) * time.Millisecond,
+	}
+}
+
+func (w *fleetWorld) play(s step) {
+	m := w.members[s.host]
+	id := fmt.Sprint("t", s.host)
+	switch s.what {
+	case "publish":
+		w.publish()
+	case "storm":
+		for range 8 {
+			w.publish()
+			time.Sleep(30 * time.Millisecond)
+		}
+	case "register":
+		w.register(id, false)
+	case "leave":
+		if _, registered := w.leaving[id]; registered {
+			w.register(id, true)
+		}
+	case "remove":
+		w.remove(id)
+	case "refuse":
+		m.path.Store(pathRefused)
+	case "hang":
+		m.path.Store(pathHung)
+	case "open":
+		m.path.Store(pathOpen)
+	case "deafen":
+		m.deaf.Store(true)
+	case "hear":
+		m.deaf.Store(false)
+	case "compact":
+		w.store.compact()
+	case "down":
+		w.store.setDown(true)
+	case "up":
+		w.store.setDown(false)
+	}
+}
+
+// noteCuts remembers which hosts have no way to the store.
+func (w *fleetWorld) noteCuts(down bool) {
+	for _, m := range w.members {
+		if down || m.path.Load() != pathOpen {
+			m.cutUntil = time.Now()
+		}
+	}
+}
+
+// Whatever happens to the ways between hosts and the store, no host goes back,
+// none says that its view is younger than it is, each that is in touch has a
+// change within the bound, and when all is well again all know what is published.
+func TestFuzzKnowing(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		bound := rapid.SampledFrom([]time.Duration{2 * time.Second, applyBound}).Draw(rt, "bound")
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 5, 40).Draw(rt, "steps")
+		var fault string
+		synctest.Test(t, func(t *testing.T) { fault = playFleet(t.Context(), bound, steps) })
+		if fault != "" {
+			rt.Fatalf("%s", fault)
+		}
+	})
+}
+
+// playFleet returns the first fault, empty if there is none.
+func playFleet(ctx context.Context, bound time.Duration, steps []step) (fault string) {
+	fail := func(format string, args ...any) {
+		if fault == "" {
+			fault = fmt.Sprintf(format, args...)
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		cancel()
+		time.Sleep(time.Second) // all goroutines end
+	}()
+	w := newFleetWorld(ctx, bound)
+	time.Sleep(100 * time.Millisecond)
+	down := false
+	for _, s := range steps {
+		w.play(s)
+		down = (down || s.what == "down") && s.what != "up"
+		const tick = 50 * time.Millisecond
+		for left := s.pause; left > 0; left -= tick {
+			w.noteCuts(down)
+			time.Sleep(min(tick, left))
+			w.noteCuts(down)
+			w.check(fail)
+		}
+	}
+	w.store.setDown(false)
+	for _, m := range w.members {
+		m.path.Store(pathOpen)
+		m.deaf.Store(false)
+	}
+	time.Sleep(10 * time.Second)
+	w.check(fail)
+	w.expectAllKnown(fail)
+	return fault
+}
+
+func (w *fleetWorld) expectAllKnown(fail func(string, ...any)) {
+	var want []string
+	for id, leaving := range w.leaving {
+		if !leaving {
+			want = append(want, id)
+		}
+	}
+	slices.Sort(want)
+	for _, m := range w.members {
+		got := targets(m.follower)
+		slices.Sort(got)
+		if !slices.Equal(got, want) || m.follower.View().Config.Version != w.version {
+			fail("host %d has version %d and targets %v, not %d and %v", m.index, m.follower.View().Config.Version, got, w.version, want)
+		}
+	}
+}
--- a/internal/follow/history.go
+++ b/internal/follow/history.go
@@ -33,22 +33,25 @@
 	}
 }
 
-// since returns the newest change after a revision of each key that changed, by
-// revision, or false if some are not known.
+// since returns the changes after a revision, or false if some are not known.
+// A value that a newer one replaced is left out; a removal replaces nothing,
+// since it tells apart whether the target had said that it leaves.
 func (h *history) since(after Revision) ([]Entry, bool) {
 	if after < h.from {
 		return nil, false
 	}
 	var newest []Entry
-	seen := make(map[string]struct{})
+	replaced := make(map[string]struct{})
 	for _, e := range slices.Backward(h.entries) {
 		if e.Revision <= after {
 			break
 		}
-		if _, older := seen[e.Key]; older {
+		if _, ok := replaced[e.Key]; ok && !e.Removed {
 			continue
 		}
-		seen[e.Key] = struct{}{}
+		if !e.Removed {
+			replaced[e.Key] = struct{}{}
+		}
 		newest = append(newest, e)
 	}
 	slices.Reverse(newest)
--- a/internal/follow/shared_test.go
+++ b/internal/follow/shared_test.go
@@ -159,6 +159,11 @@
 		g.Expect(known).To(BeTrue())
 		g.Expect(passed.Entries).To(HaveLen(1))
 		g.Expect(passed.Entries[0].Revision).To(Equal(passed.Revision))
+		s.put(registration("a", true))
+		s.put(removal("a"))
+		time.Sleep(time.Second)
+		passed, _ = reader.Since(passed.Revision)
+		g.Expect(passed.Entries).To(HaveLen(2), "it said that it leaves, and left")
 	})
 }
 
@@ -251,7 +256,7 @@
 // follower is one whose clock is the test's.
 func follower(source follow.Source) *follow.Follower {
 	f := follow.New(source, zap.NewNop())
-	start := time.Now()
+	start := time.Now().Add(-time.Hour) // the machine has run for a while
 	f.UseClock(func() time.Duration { return time.Since(start) })
 	return f
 }
