Share the burst of retries out over the hosts that there are

Cause: each host took a tenth of the second arrivals that all may cause beyond the ratio, whatever their number. 82 hosts with 18 each could send 1,476 in one window where 240 are allowed.

Change: the part is taken from the number of hosts heard of, ten at least, each time a retry is asked for; a host with more saved up loses the rest.

Tests: 82 hosts that use all they saved in one moment, 1,476 retries before with a bound of 240; a fuzz of 1 to 90 hosts with bursts and hosts that hear of nobody, failed in its second run before.

--- a/coord/retry/retry.go
+++ b/coord/retry/retry.go
@@ -37,7 +37,7 @@
 // Budget holds the buckets. It is safe for concurrent use.
 type Budget struct {
 	gain   int64
-	burst  int64
+	burst  atomic.Int64
 	shards []shard
 	counts counts
 }
@@ -73,9 +73,9 @@
 	}
 	b := &Budget{
 		gain:   int64(cfg.Ratio * milliTokens),
-		burst:  int64(cfg.Burst) * milliTokens,
 		shards: make([]shard, cfg.Shards),
 	}
+	b.SetBurst(float64(cfg.Burst))
 	for i := range b.shards {
 		b.shards[i].max = cfg.MaxKeys / cfg.Shards
 		b.shards[i].buckets = make(map[string]*list.Element)
@@ -83,6 +83,14 @@
 	return b, nil
 }
 
+// SetBurst changes how many retries a key may save up; a key with more keeps
+// that many. It must not be negative. Under one, a new key still saves up the
+// first tries that allow one retry.
+func (b *Budget) SetBurst(retries float64) { b.burst.Store(int64(retries * milliTokens)) }
+
+// most is how much a key may save up.
+func (b *Budget) most() int64 { return max(b.burst.Load(), milliTokens) }
+
 // First counts a first try of key.
 func (b *Budget) First(key string) {
 	b.counts.first.Add(1)
@@ -90,7 +98,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.bucket(b, key)
-	k.tokens = min(k.tokens+b.gain, max(b.burst, milliTokens))
+	k.tokens = min(k.tokens+b.gain, b.most())
 }
 
 // Retry reports whether key may retry now, and counts the retry if so.
@@ -99,6 +107,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.bucket(b, key)
+	k.tokens = min(k.tokens, b.most())
 	if k.tokens < milliTokens {
 		b.counts.refused.Add(1)
 		return false
@@ -128,7 +137,7 @@
 		s.recent.MoveToFront(el)
 		return el.Value.(*bucket)
 	}
-	fresh := &bucket{key: key, tokens: b.burst}
+	fresh := &bucket{key: key, tokens: b.burst.Load()}
 	if len(s.buckets) >= s.max {
 		s.evict()
 		b.counts.evicted.Add(1)
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -11,7 +11,6 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/plantainrun/plantainrun/coord/retry"
 	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/follow"
 	"github.com/plantainrun/plantainrun/internal/httpserver"
@@ -30,10 +29,6 @@
 	balancerNotice = 2600 * time.Millisecond
 	// exitMargin is how long before the end of the grace period the process exits.
 	exitMargin = 400 * time.Millisecond
-	// assumedHosts is the number of hosts that share the burst of retries.
-	assumedHosts = 10
-	// retryShare is the part of the allowed retries that is used.
-	retryShare = 0.75
 	// drainPoll is how often a drain looks for requests in progress.
 	drainPoll = 20 * time.Millisecond
 )
@@ -77,15 +72,15 @@
 
 // New returns a host that is not started.
 func New(settings Settings, adapter Adapter, log *zap.Logger) (*Host, error) {
-	budget, err := retry.New(budgetConfig(settings))
-	if err != nil {
-		return nil, eris.Wrap(err, "retry budget")
-	}
 	h := &Host{settings: settings, adapter: adapter, log: log, board: placement.NewBoard(time.Now, rand.Uint64()), done: make(chan struct{})}
 	h.peers = peers.New(peers.Config{
 		HostID: settings.HostID, Domain: settings.Domain, Addr: settings.PeersAddr, Seeds: settings.Seeds, Board: h.board, Log: log,
 	})
 	h.board.Notify(h.peers)
+	budget, err := newRetryBudget(settings, h.peers.Known)
+	if err != nil {
+		return nil, eris.Wrap(err, "retry budget")
+	}
 	h.follower = follow.New(follow.NewShared(adapter.Source, h.peers, settings.ApplyWithin, log), log)
 	h.follower.OnChanged(h.forgetTargets)
 	h.metrics = newMetrics(h.follower)
@@ -104,13 +99,6 @@
 	return h, h.listeners()
 }
 
-func budgetConfig(s Settings) retry.Config {
-	cfg := retry.DefaultConfig()
-	cfg.Ratio = s.RetryRatio * retryShare
-	cfg.Burst = max(1, int(s.RetryBurst*retryShare/assumedHosts))
-	return cfg
-}
-
 func relaySettings(s Settings) relay.Settings {
 	out := relay.Settings{HoldReservation: min(s.MaxHold, s.MemoryLinger-lingerMargin)}
 	if s.RevokeWithin > 0 {
