--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -44,8 +44,11 @@
 	avoid    []string // targets tried
 	// reserveRounds counts the rounds in which memory could not be reserved.
 	reserveRounds int
-	begun         bool     // the caller has a part of the answer
-	seq           sequence // of events handed on
+	// reservations counts the times that memory was asked for. It is part of a
+	// reservation's name: a release that comes late must not end a newer one.
+	reservations int
+	begun        bool     // the caller has a part of the answer
+	seq          sequence // of events handed on
 	// longestPause is between two events handed on.
 	longestPause time.Duration
 	failure      *whole // the newest answer of a target that failed
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -66,11 +66,12 @@
 // reserve sets aside the memory that a placement asks for, all or nothing.
 func (r *Relay) reserve(ctx context.Context, j *job, placed *placement.Placement) (*holding, error) {
 	h := &holding{}
+	j.reservations++
 	var reserved []placement.Part
 	for i, part := range placed.Parts {
 		helper := Helper{Target: part.Target}
 		if part.Tokens > 0 {
-			helper.Reservation = r.cfg.Name + "-" + j.req.ID + "-" + strconv.Itoa(j.sends) + "-" + strconv.Itoa(i)
+			helper.Reservation = r.cfg.Name + "-" + j.req.ID + "-" + strconv.Itoa(j.reservations) + "-" + strconv.Itoa(i)
 			reserved = append(reserved, part)
 		}
 		h.helpers = append(h.helpers, helper)
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -76,6 +76,9 @@
 }
 
 const (
+	// holdReservation is the lease of engine memory.
+	holdReservation = 3 * time.Second
+
 	goodKey = "key-1"
 	timeout = 4 * time.Second
 )
@@ -258,11 +261,19 @@
 }
 
 func newWorld(next func(relay.Call) script) *world {
-	w := &world{transport: &transport{next: next}, knowledge: newKnowledge(published()), budget: &budget{left: 100}, board: placement.NewBoard(time.Now, 1)}
+	tr := &transport{next: next}
+	w := newWorldOver(tr)
+	w.transport = tr
+	return w
+}
+
+// newWorldOver is a relay with targets behind another transport.
+func newWorldOver(over relay.Transport) *world {
+	w := &world{knowledge: newKnowledge(published()), budget: &budget{left: 100}, board: placement.NewBoard(time.Now, 1)}
 	w.relay = relay.New(relay.Config{
-		Knowledge: w.knowledge, Board: w.board, Transport: w.transport, Budget: w.budget,
+		Knowledge: w.knowledge, Board: w.board, Transport: over, Budget: w.budget,
 		Observer: silentObserver{}, Peers: silentObserver{}, Log: zap.NewNop(), Name: "host",
-		Settings: relay.Settings{TrustKeys: 4 * time.Second, HoldReservation: 3 * time.Second},
+		Settings: relay.Settings{TrustKeys: 4 * time.Second, HoldReservation: holdReservation},
 	})
 	return w
 }
