Leave it to the readers to find out when the store is back

Change: a host that need not read the store calls it once in two seconds after a failed call; it hears from a reader when the store is back.

--- a/internal/follow/shared.go
+++ b/internal/follow/shared.go
@@ -17,8 +17,14 @@
 	directTimeout = 700 * time.Millisecond
 	// failureMemory is how long after a failed call other hosts are asked first.
 	failureMemory = time.Second
+	// probeInterval is how long after a failed call a host that need not read
+	// the store leaves it to the others to find out when it is back.
+	probeInterval = 2 * time.Second
 )
 
+// errUnread means that the store was not read because it failed lately.
+var errUnread = errors.New("the store failed a moment ago and no other host has heard of it: wait")
+
 // limits are the times that keep a change within the bound for it to be in
 // force, though the host that reads the store for others is cut off from it.
 type limits struct {
@@ -97,7 +103,7 @@
 func (s *Shared) Watch(ctx context.Context, after Revision, wait time.Duration) (Listing, error) {
 	q := question{began: time.Now(), after: after, wait: min(wait, s.limits.passedWait)}
 	var cause error
-	if !s.peers.Reads() || s.failedLately() {
+	if !s.peers.Reads() || s.failedWithin(failureMemory) {
 		listing, err := s.askFirst(ctx, q)
 		if err == nil {
 			s.answeredBy("peer", nil)
@@ -109,7 +115,7 @@
 	if s.peers.Asked() {
 		wait = min(wait, s.limits.readerWait)
 	}
-	listing, err := s.direct(ctx, after, wait)
+	listing, err := s.read(ctx, after, wait)
 	if err == nil || errors.Is(err, ErrHistoryGone) {
 		s.answeredBy("store", cause)
 		return listing, err
@@ -121,6 +127,14 @@
 	return listing, err
 }
 
+// read watches the store if it is this host's turn.
+func (s *Shared) read(ctx context.Context, after Revision, wait time.Duration) (Listing, error) {
+	if !s.peers.Reads() && s.failedWithin(probeInterval) {
+		return Listing{}, errUnread
+	}
+	return s.direct(ctx, after, wait)
+}
+
 // direct watches the store, with time left to ask another host afterwards.
 func (s *Shared) direct(ctx context.Context, after Revision, wait time.Duration) (Listing, error) {
 	callCtx, cancel := context.WithTimeout(ctx, wait+directTimeout)
@@ -134,10 +148,11 @@
 	return listing, err
 }
 
-func (s *Shared) failedLately() bool {
+// failedWithin reports whether a call to the store failed so lately.
+func (s *Shared) failedWithin(d time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.failedAt.IsZero() && time.Since(s.failedAt) < failureMemory
+	return !s.failedAt.IsZero() && time.Since(s.failedAt) < d
 }
 
 // question is what other hosts are asked.
--- a/internal/follow/shared_test.go
+++ b/internal/follow/shared_test.go
@@ -243,6 +243,33 @@
 	})
 }
 
+// The store is down for all. The hosts that read it for others look when it is
+// back, and the others hear of it.
+func TestInAnOutageFewHostsCallTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newStore()
+		s.put(version(7))
+		reader := follower(follow.NewShared(&lagging{store: s}, &peers{reads: true}, applyBound, zap.NewNop()))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go reader.Run(ctx)
+		time.Sleep(10 * time.Millisecond)
+		direct := &lagging{store: s}
+		asker := follower(follow.NewShared(direct, &peers{other: reader}, applyBound, zap.NewNop()))
+		go asker.Run(ctx)
+		time.Sleep(time.Second)
+		s.setDown(true)
+		const outage = 10 * time.Second
+		time.Sleep(outage)
+		g.Expect(direct.watches.Load()).To(BeNumerically("<=", int64(outage/(2*time.Second))))
+		s.setDown(false)
+		s.put(version(9))
+		time.Sleep(time.Second)
+		g.Expect(asker.View().Config.Version).To(BeEquivalentTo(9))
+	})
+}
+
 // silent are peers that never answer.
 type silent struct{}
 
