--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -9,6 +9,7 @@
 
 	"github.com/plantainrun/plantainrun/internal/demo"
 	"github.com/plantainrun/plantainrun/internal/logging"
+	platformdemo "github.com/plantainrun/plantainrun/platform/demo"
 )
 
 type demoCommand struct {
@@ -29,5 +30,8 @@
 	logging.Route(log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if err := platformdemo.Run(ctx, c.streams.Out, log); err != nil {
+		return err
+	}
 	return demo.Run(ctx, demo.Options{Out: c.streams.Out, Log: log, Hold: c.Hold})
 }
--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"net/http"
 	"os"
 	"reflect"
 	"syscall"
@@ -11,7 +10,6 @@
 
 	"github.com/plantainrun/plantainrun/internal/edge"
 	"github.com/plantainrun/plantainrun/internal/logging"
-	"github.com/plantainrun/plantainrun/internal/relay"
 	"github.com/plantainrun/plantainrun/internal/signals"
 	"github.com/plantainrun/plantainrun/platform"
 )
@@ -34,7 +32,7 @@
 	log := logging.NewEvents(c.streams.Out)
 	defer func() { _ = log.Sync() }()
 	logging.Route(log)
-	host, err := edge.New(settings, newAdapter(settings, log), log)
+	host, err := edge.New(settings, platform.NewAdapter(settings, log), log)
 	if err != nil {
 		return err
 	}
@@ -45,18 +43,6 @@
 	return nil
 }
 
-func newAdapter(settings edge.Settings, log *zap.Logger) edge.Adapter {
-	return edge.Adapter{
-		Source:    platform.NewStore(settings.StoreAddr, log),
-		Transport: platform.NewTargets(log),
-		Callers: func(r *relay.Relay, draining func() bool) http.Handler {
-			return platform.NewIngress(r, draining, log)
-		},
-		ReadyPath: platform.ReadyPath,
-		Ready:     platform.ReadyHandler,
-	}
-}
-
 // supervise reacts to signals and to changes of the settings until the host
 // has drained.
 func (c *edgeCommand) supervise(host *edge.Host, settings edge.Settings, received <-chan os.Signal, log *zap.Logger) {
