Ask another host first after one gave no answer

Cause: the host that answered last is asked first. One that then falls silent stayed that host until another had answered in time, and as it takes 0.675 of the 0.9 s for asking, often none had.

Test: after no answer another host stands first; failed before. An answer that cannot be read is logged.

--- a/internal/peers/asking.go
+++ b/internal/peers/asking.go
@@ -111,16 +111,26 @@
 	case <-ctx.Done():
 		return follow.Passed{}, ctx.Err()
 	case <-time.After(wait + answerTimeout):
-		s.hosts.unanswered(l.addr, time.Now())
+		s.noAnswer(l)
 		return follow.Passed{}, follow.ErrNoPeer
 	case p := <-answer:
 		if !p.GetKnown() {
 			return follow.Passed{}, follow.ErrNoPeer
 		}
-		return decodePassed(p)
+		passed, err := decodePassed(p)
+		if err != nil {
+			s.cfg.Log.Warn("answer of a peer cannot be read", zap.Stringer("addr", l.addr), zap.Error(err))
+		}
+		return passed, err
 	}
 }
 
+// noAnswer has another host asked first from now on.
+func (s *Service) noAnswer(l *link) {
+	s.hosts.unanswered(l.addr, time.Now())
+	s.answered.CompareAndSwap(l, nil)
+}
+
 // askable returns the links to hosts to ask, in order.
 func (s *Service) askable() []*link {
 	readers := s.hosts.readers(time.Now())
--- a/internal/peers/hosts_test.go
+++ b/internal/peers/hosts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"github.com/plantainrun/plantainrun/internal/peers/peerspb"
 )
@@ -56,3 +57,21 @@
 	s.hosts.heard(&peerspb.Host{Id: "new", Addr: "192.0.2.99:80", Domain: "south"}, now.Add(time.Minute))
 	g.Expect(due(quiet, 0, heartbeatInterval)).To(BeTrue())
 }
+
+// A host that does not answer in time is not the first to be asked next time.
+func TestAHostThatDoesNotAnswerIsAskedLater(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	s := New(Config{Domain: "north", Addr: netip.MustParseAddrPort("192.0.2.0:80"), Log: zap.NewNop()})
+	s.hosts = tableOf(8, now)
+	for addr := range s.hosts.hosts {
+		s.links[addr] = &link{service: s, addr: addr, up: true}
+	}
+	for range len(s.links) {
+		first := s.askable()[0]
+		s.answered.Store(first)
+		g.Expect(s.askable()[0]).To(BeIdenticalTo(first), "it answered last")
+		s.noAnswer(first)
+		g.Expect(s.askable()[0]).NotTo(BeIdenticalTo(first))
+	}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -68,9 +68,8 @@
 
 // choosePrompt takes the cheapest choice over the numbers of engines.
 func (p *Placement) choosePrompt(need *Need, candidates []*load, s *shard, now time.Time) []Share {
-	c := newChooser(need, candidates, &s.demand, now)
+	c := newChooser(need, candidates, s, now)
 	c.unheard = s.demand.short.perSecond(now) * time.Duration(p.board.delay.Load()).Seconds()
-	c.random = s.random
 	var best *choice
 	for _, parts := range c.partCounts() {
 		if ch := c.choose(parts); best == nil || ch.cost < best.cost {
@@ -106,8 +105,8 @@
 	random    *rand.Rand
 }
 
-func newChooser(need *Need, candidates []*load, d *demand, now time.Time) *chooser {
-	c := &chooser{need: need, engine: need.Engine, weight: need.weight()}
+func newChooser(need *Need, candidates []*load, s *shard, now time.Time) *chooser {
+	c := &chooser{need: need, engine: need.Engine, weight: need.weight(), random: s.random}
 	blocked := 0
 	for _, l := range candidates {
 		st := newEngineState(l, need.Engine, now)
@@ -117,8 +116,8 @@
 		c.states = append(c.states, st)
 	}
 	n := float64(len(c.states))
-	c.shortRate = d.short.perSecond(now) / n
-	markReaders(c.states, c.engine.Slots, d.reading.perSecond(now), d.short.perSecond(now))
+	c.shortRate = s.demand.short.perSecond(now) / n
+	markReaders(c.states, c.engine.Slots, s.demand.reading.perSecond(now), s.demand.short.perSecond(now))
 	c.blocked = blockedShare + float64(blocked)/n
 	return c
 }
