--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -83,6 +83,19 @@
 	return listing, nil
 }
 
+// changeOf returns the change that an entry was passed on for.
+func (s *store) changeOf(e follow.Entry) follow.Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.changes {
+		if c.Revision == e.Revision {
+			c.Entry = e
+			return c
+		}
+	}
+	return follow.Change{Entry: e, Revision: e.Revision}
+}
+
 func (s *store) Decode(e follow.Entry) follow.Change {
 	return follow.Change{Entry: e, Revision: e.Revision}
 }
--- a/internal/follow/fuzz_test.go
+++ b/internal/follow/fuzz_test.go
@@ -73,17 +73,7 @@
 	return nil
 }
 
-func (m *member) Decode(e follow.Entry) follow.Change {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, c := range m.changes {
-		if c.Revision == e.Revision {
-			c.Entry = e
-			return c
-		}
-	}
-	return follow.Change{Entry: e, Revision: e.Revision}
-}
+func (m *member) Decode(e follow.Entry) follow.Change { return m.changeOf(e) }
 
 func (m *member) Reads() bool { return m.index < fleetReaders }
 func (m *member) Asked() bool { return m.Reads() }
--- a/internal/follow/shared_test.go
+++ b/internal/follow/shared_test.go
@@ -63,17 +63,7 @@
 	return l.store.Watch(ctx, after, wait)
 }
 
-func (l *lagging) Decode(e follow.Entry) follow.Change {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.changes {
-		if c.Revision == e.Revision {
-			c.Entry = e
-			return c
-		}
-	}
-	return follow.Change{Entry: e, Revision: e.Revision}
-}
+func (l *lagging) Decode(e follow.Entry) follow.Change { return l.changeOf(e) }
 
 func TestHostsThatDoNotReadAreToldByOnesThatDo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
