--- a/internal/follow/fuzz_test.go
+++ b/internal/follow/fuzz_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -155,8 +154,6 @@
 	store   *store
 	members []*member
 	bound   time.Duration
-
-	mu      sync.Mutex
 	version int64
 	leaving map[string]bool
 	states  []published
