--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -240,3 +240,19 @@
 		g.Expect(w.transport.sends).To(BeZero())
 	})
 }
+
+// idleMemory is the users' bound for memory that is reserved and that no request uses.
+const idleMemory = 9 * time.Second
+
+// The target says nothing, so whether it reads the prompt is not known.
+func TestMemoryOfASilentAttemptIsGivenBackInTime(t *testing.T) {
+	bubble(t, func(g *WithT, ctx context.Context) {
+		w := newWorld(always(script{silent: true}))
+		go w.serve(ctx, relay.Request{URI: "/patient/1", PromptTokens: 300000})
+		time.Sleep(time.Second)
+		g.Expect(w.transport.held()).To(BeNumerically(">", 0))
+		first := w.transport.names()
+		time.Sleep(idleMemory)
+		g.Expect(w.transport.names()).NotTo(ContainElement(BeElementOf(first)))
+	})
+}
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -89,6 +91,7 @@
 		{Name: "status", Host: "shop", PathPrefix: "/status/", Kind: catalog.Idempotent, Backends: []catalog.Backend{{Service: "orders", Weight: 1}}, Timeout: timeout, MaxAttempts: 2},
 		{Name: "chat", Host: "shop", PathPrefix: "/chat/", Kind: catalog.Streaming, Resumable: true, Backends: []catalog.Backend{{Service: "llm", Weight: 1}}, Timeout: timeout, MaxAttempts: 3, Objective: 300 * time.Millisecond, MaxPause: 250 * time.Millisecond},
 		{Name: "once", Host: "shop", PathPrefix: "/once/", Kind: catalog.Streaming, Backends: []catalog.Backend{{Service: "llm", Weight: 1}}, Timeout: timeout, MaxAttempts: 3, Objective: 300 * time.Millisecond},
+		{Name: "patient", Host: "shop", PathPrefix: "/patient/", Kind: catalog.Streaming, Resumable: true, Backends: []catalog.Backend{{Service: "llm", Weight: 1}}, Timeout: 15 * time.Second, MaxAttempts: 3, Objective: 3 * time.Second},
 		{Name: "open", Host: "shop", PathPrefix: "/open/", Kind: catalog.Idempotent, Public: true, Backends: []catalog.Backend{{Service: "orders", Weight: 1}}, Timeout: timeout, MaxAttempts: 1},
 	}
 	services := []catalog.Service{{Name: "orders"}, {Name: "llm", Engine: &engineFigures}}
@@ -213,6 +216,13 @@
 	return len(tr.reserved)
 }
 
+// names are the reservations held.
+func (tr *transport) names() []string {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return slices.Collect(maps.Keys(tr.reserved))
+}
+
 // reply notes what the caller gets.
 type reply struct {
 	refusal *relay.Refusal
