--- a/internal/peers/ask.go
+++ b/internal/peers/ask.go
@@ -135,7 +135,8 @@
 }
 
 // askCandidates returns the links to the hosts to ask, in that order. Readers and
-// other hosts are each shuffled to spread the load.
+// other hosts are each shuffled to spread the load; hosts that missed a response
+// deadline come last, the one that missed it last at the end.
 func (s *Service) askCandidates() []*link {
 	readers := s.hosts.readers(time.Now())
 	s.mu.Lock()
@@ -153,6 +154,7 @@
 	rand.Shuffle(len(readerLinks), func(i, j int) { readerLinks[i], readerLinks[j] = readerLinks[j], readerLinks[i] })
 	rand.Shuffle(len(otherLinks), func(i, j int) { otherLinks[i], otherLinks[j] = otherLinks[j], otherLinks[i] })
 	order := slices.Concat(readerLinks, otherLinks)
+	s.hosts.sortByResponsiveness(order, time.Now())
 	if i := slices.Index(order, s.lastResponder.Load()); i > 0 {
 		order[0], order[i] = order[i], order[0]
 	}
--- a/internal/peers/hosts.go
+++ b/internal/peers/hosts.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// sortByResponsiveness moves the links to recently unresponsive hosts to the end, in
+// the order in which the hosts missed their deadlines. The order of the other links
+// stays.
+func (t *hostTable) sortByResponsiveness(links []*link, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	missedAt := func(l *link) time.Time {
+		if e := t.hosts[l.addr]; e != nil && e.recentlyUnresponsive(now) {
+			return e.unresponsiveAt
+		}
+		return time.Time{}
+	}
+	slices.SortStableFunc(links, func(a, b *link) int { return missedAt(a).Compare(missedAt(b)) })
+}
+
 // gossipSample is the average number of hosts that a heartbeat names in addition
 // to new ones.
 const gossipSample = 3
