--- a/internal/e2e/calls_test.go
+++ b/internal/e2e/calls_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -18,6 +17,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/plantainrun/plantainrun/internal/engineapi"
+	"github.com/plantainrun/plantainrun/internal/loopback"
 	"github.com/plantainrun/plantainrun/internal/openai"
 	"github.com/plantainrun/plantainrun/internal/standin/engine"
 	"github.com/plantainrun/plantainrun/internal/standin/service"
@@ -30,10 +30,9 @@
 
 func freeAddr(t testing.TB) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := loopback.FreeAddr()
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return addr
 }
 
 // reply is an HTTP response whose body has been read completely.
--- a/internal/peers/fleet_bench_test.go
+++ b/internal/peers/fleet_bench_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/loopback"
 	"github.com/plantainrun/plantainrun/internal/peers"
 	"github.com/plantainrun/plantainrun/internal/placement"
 )
@@ -37,12 +38,19 @@
 	defer cancel()
 	var placers []*placement.Placer
 	var services []*peers.Service
-	seed := netip.MustParseAddrPort("127.0.0.1:21000")
+	var seed netip.AddrPort
 	for i := range size {
+		addr, err := loopback.FreeAddr()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if i == 0 {
+			seed = addr
+		}
 		h := &host{changed: make(chan struct{})}
 		h.placer = placement.NewPlacer(time.Now, uint64(i))
 		s := peers.New(peers.Config{
-			HostID: fmt.Sprint(i), Domain: fmt.Sprint(i % benchDomains), Addr: netip.AddrPortFrom(seed.Addr(), uint16(21000+i)),
+			HostID: fmt.Sprint(i), Domain: fmt.Sprint(i % benchDomains), Addr: addr,
 			Seeds: []netip.AddrPort{seed}, Placer: h.placer, Log: zap.NewNop(),
 		})
 		s.Attach(h, h)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"strings"
 	"sync"
@@ -15,6 +14,7 @@
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/follow"
+	"github.com/plantainrun/plantainrun/internal/loopback"
 	"github.com/plantainrun/plantainrun/internal/peers"
 	"github.com/plantainrun/plantainrun/internal/placement"
 )
@@ -57,10 +57,9 @@
 func (h *host) Changed() <-chan struct{} { return h.changed }
 
 func freeAddr(g *WithT) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := loopback.FreeAddr()
 	g.Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return addr
 }
 
 // startFleet starts a host per given domain, with an id of domain and index, and
