--- /dev/null
+++ b/internal/relay/lease.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/placement"
+)
+
+const (
+	// renewFraction is the fraction of a lease after which it is renewed.
+	renewFraction = 0.6
+	// lateOrderWindow is how long an order without a response may still be carried
+	// out by its engine.
+	lateOrderWindow = 15 * time.Second
+)
+
+// lease is one reservation of engine memory.
+//
+// An engine may carry out an order that it has not answered at any later time, also
+// after newer orders. So a renewal is sent only once the one before was answered or
+// has timed out; the release waits for the last renewal, and is repeated until it is
+// answered or the lease must have expired. If the outcome of a renewal is unknown, it
+// may reserve the memory anew after the release. The release is then repeated for
+// lateOrderWindow.
+type lease struct {
+	relay    *Relay
+	part     placement.Part
+	id       string
+	duration time.Duration
+
+	renewedAt    time.Time // when the last answered order was sent
+	unansweredAt time.Time // when the last renewal without a response was sent
+	stop         chan struct{}
+	stopped      chan struct{} // closed when no renewal is in progress any more
+}
+
+func (r *Relay) newLease(part placement.Part, id string) *lease {
+	return &lease{
+		relay: r, part: part, id: id, duration: r.settings.Load().ReservationLease,
+		stop: make(chan struct{}), stopped: make(chan struct{}),
+	}
+}
+
+// acquire makes the reservation. The error is ErrNoMemory if the engine has refused
+// it; otherwise the memory may be reserved.
+func (l *lease) acquire(ctx context.Context) error {
+	l.renewedAt = time.Now()
+	return l.sendReserve(ctx)
+}
+
+// keepRenewed renews the lease until release is called or the engine has no memory
+// for it any more.
+func (l *lease) keepRenewed() {
+	defer close(l.stopped)
+	next := l.renewedAt.Add(time.Duration(renewFraction * float64(l.duration)))
+	for l.sleepUntil(next) {
+		sentAt := time.Now()
+		err := l.sendReserve(context.Background())
+		switch {
+		case err == nil:
+			l.renewedAt = sentAt
+			next = sentAt.Add(time.Duration(renewFraction * float64(l.duration)))
+			continue
+		case errors.Is(err, ErrNoMemory):
+			l.log("reservation lost, its attempt will break off", err)
+			return
+		}
+		l.unansweredAt = sentAt
+		next = sentAt.Add(orderTimeout)
+		l.log("reservation not renewed", err)
+	}
+}
+
+// sleepUntil reports whether the time was reached before stop was closed.
+func (l *lease) sleepUntil(at time.Time) bool {
+	select {
+	case <-l.stop:
+		return false
+	case <-time.After(time.Until(at)):
+		return true
+	}
+}
+
+// releaseAfterUse ends the renewal and releases the memory of an attempt that has
+// ended.
+func (l *lease) releaseAfterUse() {
+	close(l.stop)
+	<-l.stopped
+	l.releaseUnused()
+	if !l.unansweredAt.IsZero() {
+		l.undoLateRenewals()
+	}
+}
+
+// releaseUnused releases memory that no attempt has used, or whose renewal has ended.
+// It returns when the release is answered or the lease must have expired.
+func (l *lease) releaseUnused() {
+	expiredAt := time.Now().Add(l.duration)
+	var err error
+	for sentAt := time.Now(); sentAt.Before(expiredAt); sentAt = time.Now() {
+		if err = l.sendRelease(); err == nil {
+			return
+		}
+		time.Sleep(time.Until(sentAt.Add(orderTimeout)))
+	}
+	l.log("reservation not released, its lease has expired", err)
+}
+
+// undoLateRenewals repeats the release for as long as a renewal may still be carried
+// out.
+func (l *lease) undoLateRenewals() {
+	until := l.unansweredAt.Add(lateOrderWindow)
+	failed := 0
+	for sentAt := time.Now(); sentAt.Before(until); sentAt = time.Now() {
+		if err := l.sendRelease(); err != nil {
+			failed++
+		}
+		time.Sleep(time.Until(sentAt.Add(orderTimeout)))
+	}
+	l.relay.cfg.Log.Info("reservation released again after an unanswered renewal", zap.String("target", l.part.Target.ID), zap.String("reservation", l.id), zap.Int("failed", failed))
+}
+
+func (l *lease) sendReserve(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return l.relay.cfg.Transport.Reserve(ctx, l.part.Target, l.id, l.part.Tokens, l.duration)
+}
+
+func (l *lease) sendRelease() error {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	return l.relay.cfg.Transport.Release(ctx, l.part.Target, l.id)
+}
+
+func (l *lease) log(message string, err error) {
+	l.relay.cfg.Log.Warn(message, zap.String("target", l.part.Target.ID), zap.String("reservation", l.id), zap.Error(err))
+}
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -13,24 +13,19 @@
 )
 
 const (
-	// reserveTimeout is the timeout of one reserve or release call to an engine.
-	reserveTimeout = 400 * time.Millisecond
+	// orderTimeout is the timeout of one reserve or release call to an engine.
+	orderTimeout = 400 * time.Millisecond
 	// maxReserveRounds is how many placements may fail to reserve memory before
 	// the request is refused.
 	maxReserveRounds  = 4
 	reserveRetryDelay = 150 * time.Millisecond
-	// renewFraction is the fraction of a lease after which it is renewed.
-	renewFraction = 0.6
-	// maxReleaseAttempts limits the release calls for one reservation.
-	maxReleaseAttempts = 3
 )
 
 // reservationSet is the engine memory reserved for one attempt. Its leases are
 // renewed until release is called.
 type reservationSet struct {
-	helpers     []Helper
-	stopRenewal context.CancelFunc
-	releaseAll  func()
+	helpers []Helper
+	leases  []*lease
 }
 
 // helperIDs returns the target ids of the helpers for logging.
@@ -42,11 +37,13 @@
 	return out
 }
 
+// holdsMemory reports whether any memory is reserved.
+func (h *reservationSet) holdsMemory() bool { return len(h.leases) > 0 }
+
 // release stops the renewal and releases the memory in the background.
 func (h *reservationSet) release() {
-	if h.stopRenewal != nil {
-		h.stopRenewal()
-		h.releaseAll()
+	for _, l := range h.leases {
+		l.relay.releases.group.Go(l.releaseAfterUse)
 	}
 }
 
@@ -70,107 +67,46 @@
 func (r *Relay) reserve(ctx context.Context, j *job, placed *placement.Placement) (*reservationSet, error) {
 	set := &reservationSet{}
 	j.reserveCalls++
-	var reservedParts []placement.Part
 	for i, part := range placed.Parts {
 		helper := Helper{Target: part.Target}
 		if part.Tokens > 0 {
 			helper.ReservationID = r.cfg.HostID + "-" + j.req.ID + "-" + strconv.Itoa(j.reserveCalls) + "-" + strconv.Itoa(i)
-			reservedParts = append(reservedParts, part)
+			set.leases = append(set.leases, r.newLease(part, helper.ReservationID))
 		}
 		set.helpers = append(set.helpers, helper)
 	}
-	if len(reservedParts) == 0 {
-		return set, nil
-	}
-	if err := r.reserveAll(ctx, j, placed.Parts, set.helpers); err != nil {
-		r.releaseAll(set.helpers)
+	if err := r.acquireAll(ctx, j, set.leases); err != nil {
 		return nil, err
 	}
-	renewCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	set.stopRenewal = cancel
-	set.releaseAll = func() { r.releaseAll(set.helpers) }
-	go r.renew(renewCtx, placed.Parts, set.helpers)
+	for _, l := range set.leases {
+		go l.keepRenewed()
+	}
 	return set, nil
 }
 
-// reserveAll reserves memory on the engines concurrently. The error joins all
-// failures.
-func (r *Relay) reserveAll(ctx context.Context, j *job, parts []placement.Part, helpers []Helper) error {
-	lease := r.settings.Load().ReservationLease
-	errs := make([]error, len(parts))
+// acquireAll acquires the leases concurrently. If one fails, the others are
+// released in the background; the error joins all failures.
+func (r *Relay) acquireAll(ctx context.Context, j *job, leases []*lease) error {
+	errs := make([]error, len(leases))
 	var group sync.WaitGroup
-	for i := range parts {
-		if helpers[i].ReservationID == "" {
-			continue
-		}
-		group.Go(func() {
-			callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
-			defer cancel()
-			errs[i] = r.cfg.Transport.Reserve(callCtx, parts[i].Target, helpers[i].ReservationID, parts[i].Tokens, lease)
-		})
+	for i, l := range leases {
+		group.Go(func() { errs[i] = l.acquire(ctx) })
 	}
 	group.Wait()
-	for i, err := range errs {
-		if err == nil {
-			continue
-		}
-		j.triedTargets = append(j.triedTargets, parts[i].Target.ID)
-		j.log("memory not reserved", zap.String("target", parts[i].Target.ID), zap.Int("tokens", parts[i].Tokens), zap.Error(err))
-	}
-	return errors.Join(errs...)
-}
-
-// renew renews the leases periodically until ctx ends.
-func (r *Relay) renew(ctx context.Context, parts []placement.Part, helpers []Helper) {
-	lease := r.settings.Load().ReservationLease
-	ticker := time.NewTicker(time.Duration(renewFraction * float64(lease)))
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		for i := range parts {
-			if helpers[i].ReservationID == "" || ctx.Err() != nil {
-				continue
-			}
-			go r.renewOne(ctx, parts[i], helpers[i], lease)
-		}
+	err := errors.Join(errs...)
+	if err == nil {
+		return nil
 	}
-}
-
-func (r *Relay) renewOne(ctx context.Context, part placement.Part, helper Helper, lease time.Duration) {
-	callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	err := r.cfg.Transport.Reserve(callCtx, part.Target, helper.ReservationID, part.Tokens, lease)
-	if err != nil && ctx.Err() == nil {
-		r.cfg.Log.Warn("reservation not renewed", zap.String("target", part.Target.ID), zap.String("reservation", helper.ReservationID), zap.Error(err))
-	}
-}
-
-// releaseAll releases reservations in the background. A reservation that cannot
-// be released ends when its lease expires.
-func (r *Relay) releaseAll(helpers []Helper) {
-	for _, h := range helpers {
-		if h.ReservationID == "" {
-			continue
+	for i, l := range leases {
+		if errs[i] != nil {
+			j.triedTargets = append(j.triedTargets, l.part.Target.ID)
+			j.log("memory not reserved", zap.String("target", l.part.Target.ID), zap.Int("tokens", l.part.Tokens), zap.Error(errs[i]))
 		}
-		r.releases.group.Go(func() { r.releaseOne(h) })
-	}
-}
-
-func (r *Relay) releaseOne(h Helper) {
-	var err error
-	for range maxReleaseAttempts {
-		ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
-		err = r.cfg.Transport.Release(ctx, h.Target, h.ReservationID)
-		cancel()
-		if err == nil {
-			return
+		if !errors.Is(errs[i], ErrNoMemory) {
+			r.releases.group.Go(l.releaseUnused)
 		}
 	}
-	r.cfg.Log.Warn("reservation not released, waiting for its lease to expire", zap.String("target", h.Target.ID), zap.String("reservation", h.ReservationID), zap.Error(err))
+	return err
 }
 
 // handleReserveFailure allows another placement after a delay, up to
