--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -23,6 +23,9 @@
 	// revocationMargin is subtracted from Settings.RevokeWithin to get the age of the
 	// view from which keys are no longer trusted.
 	revocationMargin = 400 * time.Millisecond
+	// idleReservationFraction is the fraction of Settings.MaxIdleReservation after which
+	// memory without an event is released, so that the release arrives in time.
+	idleReservationFraction = 0.8
 	// leaseMargin is how much shorter than Settings.MemoryReleaseBound the lease of
 	// a reservation is.
 	leaseMargin = 500 * time.Millisecond
@@ -106,7 +109,10 @@
 }
 
 func relaySettings(s Settings) relay.Settings {
-	out := relay.Settings{ReservationLease: min(s.MaxReservationLease, s.MemoryReleaseBound-leaseMargin)}
+	out := relay.Settings{
+		ReservationLease:   min(s.MaxReservationLease, s.MemoryReleaseBound-leaseMargin),
+		MaxIdleReservation: time.Duration(idleReservationFraction * float64(s.MaxIdleReservation)),
+	}
 	if s.RevokeWithin > 0 {
 		out.MaxViewAge = s.RevokeWithin - revocationMargin
 	}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -39,4 +39,7 @@
 	// MemoryReleaseBound is the longest time that engine memory may stay reserved
 	// after its request ends.
 	MemoryReleaseBound time.Duration
+	// MaxIdleReservation is the longest time that engine memory may stay reserved
+	// while no request uses it; 0 for no limit.
+	MaxIdleReservation time.Duration
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -25,6 +25,11 @@
 	// caller is expected to wait; a request at or above it is refused
 	// immediately.
 	maxWaitRatio = 1.5
+	// reservedWaitRatio is the ratio of the wait for the first event to the predicted
+	// one from which a target with reserved memory counts as unresponsive, and
+	// minReservedWait is the shortest such wait.
+	reservedWaitRatio = 4
+	minReservedWait   = 4 * time.Second
 )
 
 // attempt places the request, sends it once and handles the response.
@@ -48,7 +53,7 @@
 	defer reservations.release()
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := newWatchdog(cancel, j.progressTimeout())
+	watchdog := newWatchdog(cancel, j.firstEventTimeout(placed, reservations))
 	defer watchdog.stop()
 	resp, err := j.send(sendCtx, placed, reservations)
 	if err != nil {
@@ -101,6 +106,18 @@
 	return true
 }
 
+// firstEventTimeout returns how long an attempt may take until its first event. One
+// that holds reserved memory must not keep it for a target that does not respond.
+func (j *job) firstEventTimeout(placed *placement.Placement, reservations *reservationSet) time.Duration {
+	timeout := j.progressTimeout()
+	maxIdle := j.relay.settings.Load().MaxIdleReservation
+	if !reservations.holdsMemory() || maxIdle == 0 {
+		return timeout
+	}
+	expected := max(minReservedWait, time.Duration(reservedWaitRatio*float64(placed.PredictedWait)))
+	return min(timeout, expected, maxIdle)
+}
+
 // progressTimeout returns how long an attempt may take without progress before
 // it is cancelled.
 func (j *job) progressTimeout() time.Duration {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -287,7 +287,7 @@
 	w.relay = relay.New(relay.Config{
 		Views: w.views, Placer: w.placer, Transport: transport, RetryBudget: w.budget,
 		Observer: noopObserver{}, Peers: noopObserver{}, Log: zap.NewNop(), HostID: "host",
-		Settings: relay.Settings{MaxViewAge: 4 * time.Second, ReservationLease: reservationLease},
+		Settings: relay.Settings{MaxViewAge: 4 * time.Second, ReservationLease: reservationLease, MaxIdleReservation: maxIdleReservation * 4 / 5},
 	})
 	return w
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,9 @@
 	MaxViewAge time.Duration
 	// ReservationLease is the lease duration of a memory reservation.
 	ReservationLease time.Duration
+	// MaxIdleReservation is how long memory may be reserved for an attempt without an
+	// event; 0 for no limit.
+	MaxIdleReservation time.Duration
 }
 
 // Config holds the dependencies and the initial settings of a Relay.
