--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -15,10 +15,11 @@
 	// connection is closed (TCP_USER_TIMEOUT).
 	unackedTimeout = 1200 * time.Millisecond
 	// TCP keepalive settings: a connection idle for probeIdle is probed every
-	// probeInterval and closed after probeCount probes without an answer.
+	// probeInterval and closed after probeCount probes without an answer. The kernel
+	// takes whole seconds.
 	probeIdle     = time.Second
-	probeInterval = 500 * time.Millisecond
-	probeCount    = 3
+	probeInterval = time.Second
+	probeCount    = 2
 )
 
 // New returns a dialer with TCP keepalive and TCP_USER_TIMEOUT set. timeout limits
