--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -34,6 +34,12 @@
 	// minBlockedFraction is the fraction of short prompts that are expected to meet
 	// a blocked engine even when few engines are blocked.
 	minBlockedFraction = 0.1
+	// lateElsewhereCost is the cost of a late short prompt at an engine that is not set
+	// apart for late ones and has fewer than lateSlotMargin free slots, in units of the
+	// request's weight. A late prompt there would take the slot of one that can be in
+	// time.
+	lateElsewhereCost = 10
+	lateSlotMargin    = 3
 	// spreadEnginesPerPrompt is how many engines a host adds to its random choice
 	// for each prompt that peers are expected to have placed without its knowledge.
 	spreadEnginesPerPrompt = 4
@@ -85,7 +91,7 @@
 		}
 	}
 	p.Primary, p.PredictedWait = best.engines[0].load.target, best.wait
-	p.Late = req.Waited+best.wait > req.Objective
+	p.Late = c.late(best.wait)
 	reserved := reservation(req, len(best.engines))
 	shares := make([]Share, 0, len(best.engines))
 	for i, snap := range best.engines {
@@ -125,7 +131,7 @@
 	}
 	n := float64(len(c.engines))
 	c.shortRatePerEngine = s.demand.shortPrompts.perSecond(now) / n
-	assignPrefillPool(c.engines, c.engine.Slots, s.demand.longPrefill.perSecond(now), s.demand.shortPrompts.perSecond(now))
+	assignRoles(c.engines, c.engine.Slots, s.demand.longPrefill.perSecond(now), s.demand.shortPrompts.perSecond(now))
 	c.blockedFraction = minBlockedFraction + float64(blocked)/n
 	return c
 }
@@ -176,7 +182,7 @@
 		ch.cost += r.interference
 	}
 	if !c.singleEngine() {
-		ch.wait += ch.engines[0].slotWait(c.engine)
+		ch.wait += c.slotWait(ch.engines[0], ch.wait)
 		ch.cost += c.decodeCost(ch.engines[0], parts)
 	}
 	ch.cost += c.latenessCost(ch.wait)
@@ -207,7 +213,10 @@
 func (c *chooser) evaluate(snap *engineSnapshot, prefillTime time.Duration) engineCost {
 	r := engineCost{snap: snap, wait: snap.timeToFirstEvent(c.engine, prefillTime), interference: c.interferenceCost(snap, prefillTime)}
 	if c.singleEngine() {
-		r.wait += snap.slotWait(c.engine)
+		r.wait += c.slotWait(snap, r.wait)
+		if c.late(r.wait) && !snap.takesLate && snap.freeSlots(c.engine) < lateSlotMargin {
+			r.interference += lateElsewhereCost * c.weight
+		}
 		r.interference += c.decodeCost(snap, 1)
 	} else if !snap.inPrefillPool {
 		r.interference += prefillOutsidePoolCost * prefillTime.Seconds()
@@ -216,6 +225,19 @@
 	return r
 }
 
+// slotWait is the wait for a decoding slot in addition to a wait for the prefill. A
+// request that will be late even so is admitted after all that are not.
+func (c *chooser) slotWait(snap *engineSnapshot, wait time.Duration) time.Duration {
+	timely := snap.slotWait(c.engine, false)
+	if !c.late(wait + timely) {
+		return timely
+	}
+	return snap.slotWait(c.engine, true)
+}
+
+// late reports whether the request misses its objective with the given wait.
+func (c *chooser) late(wait time.Duration) bool { return c.req.Waited+wait > c.req.Objective }
+
 // interferenceCost is the cost of the prefill to the requests at an engine and to
 // short prompts that arrive during it.
 func (c *chooser) interferenceCost(snap *engineSnapshot, prefillTime time.Duration) float64 {
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -19,13 +19,17 @@
 	backlog     time.Duration   // predicted time until all assigned prompts are prefilled
 	passTime    time.Duration   // between two events, without prefill
 	tokens      int             // memory in use, in tokens
-	decoding    []latencyBudget // streams, with the largest event gap that counts as timely
+	streams     int             // requests past their first event
+	decoding    []latencyBudget // timely streams, with their largest event gap
 	prefilling  []latencyBudget // prompts, with the time left until their objective
 	running     int             // requests that hold a slot (prefilled) or are admitted before late ones
+	queuedLate  int             // late requests without a slot, admitted in order after all others
 	helperParts int             // parts of other engines' prompts, not yet prefilled
 	penalty     time.Duration   // extra wait that recent failures count for
 	// inPrefillPool marks an engine that is preferred for parts of long prompts.
 	inPrefillPool bool
+	// takesLate marks an engine for short prompts that will be late in any case.
+	takesLate bool
 }
 
 // latencyBudget is the time within which a request needs its next event.
@@ -40,22 +44,28 @@
 	for _, j := range l.jobs {
 		t, s := j.trackedJob, j.share
 		snap.tokens += s.Tokens
-		if s.Decodes && (t.Prefilled || !t.Late) {
+		switch {
+		case s.Decodes && (t.Prefilled || !t.Late):
 			snap.running++
+		case s.Decodes:
+			snap.queuedLate++
 		}
 		if !t.Prefilled && !s.Decodes {
 			snap.helperParts++
 		}
 		switch {
 		case t.Prefilled && s.Decodes:
-			snap.decoding = append(snap.decoding, latencyBudget{t.Weight, t.MaxEventGap})
+			snap.streams++
 			context += s.Tokens
+			if !t.Late { // an event gap does not make a late answer later
+				snap.decoding = append(snap.decoding, latencyBudget{t.Weight, t.MaxEventGap})
+			}
 		case !t.Prefilled:
 			snap.prefilling = append(snap.prefilling, latencyBudget{t.Weight, t.Objective - now.Sub(t.placedAt)})
 		}
 	}
-	if len(snap.decoding) > 0 {
-		snap.passTime = passTime(e, len(snap.decoding), context)
+	if snap.streams > 0 {
+		snap.passTime = passTime(e, snap.streams, context)
 	}
 	return snap
 }
@@ -78,9 +88,21 @@
 	return snap.penalty + snap.backlog + snap.passTime/2 + prefillTime + pass
 }
 
-// slotWait is the expected time until a decoding slot is free.
-func (snap *engineSnapshot) slotWait(e *catalog.Engine) time.Duration {
-	excess := snap.running - e.Slots + 1
+// freeSlots returns the number of slots without a request that holds or waits for them.
+func (snap *engineSnapshot) freeSlots(e *catalog.Engine) int {
+	return max(0, e.Slots-snap.running-snap.queuedLate)
+}
+
+// slotWait is the expected time until a decoding slot is free for a new request,
+// which late ones share in order after all others.
+func (snap *engineSnapshot) slotWait(e *catalog.Engine, late bool) time.Duration {
+	all := snap.running + snap.queuedLate
+	// Late requests have taken the slots that the others leave.
+	ahead := max(snap.running, min(all, e.Slots))
+	if late {
+		ahead = all
+	}
+	excess := ahead - e.Slots + 1
 	if e.Slots == 0 || excess <= 0 {
 		return 0
 	}
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -37,12 +37,26 @@
 	eventsSigma      float64 // standard deviation of the logarithm of events
 	objective        time.Duration
 	maxEventGap      time.Duration
+	// Requests arrive from start until end; an end of 0 is the end of the simulation.
+	start, end time.Duration
+}
+
+// during returns the workload limited to a period.
+func (wl workload) during(start, end time.Duration) workload {
+	wl.start, wl.end = start, end
+	return wl
+}
+
+// scaled returns the workload with its arrival rate multiplied by x.
+func (wl workload) scaled(x float64) workload {
+	wl.perSecond *= x
+	return wl
 }
 
 var (
-	question = workload{"question", 48.9, 4960, 0.9, 23800, 31.6, 0.7, 300 * time.Millisecond, 250 * time.Millisecond}
-	review   = workload{"review", 2.67, 45000, 0.5, 110000, 19, 0.6, 1500 * time.Millisecond, 600 * time.Millisecond}
-	handbook = workload{"handbook", 2.24, 133000, 0.55, 600000, 15.8, 0.5, 2500 * time.Millisecond, time.Second}
+	question = workload{name: "question", perSecond: 48.9, meanPromptTokens: 4960, promptSigma: 0.9, maxPromptTokens: 23800, meanEvents: 31.6, eventsSigma: 0.7, objective: 300 * time.Millisecond, maxEventGap: 250 * time.Millisecond}
+	review   = workload{name: "review", perSecond: 2.67, meanPromptTokens: 45000, promptSigma: 0.5, maxPromptTokens: 110000, meanEvents: 19, eventsSigma: 0.6, objective: 1500 * time.Millisecond, maxEventGap: 600 * time.Millisecond}
+	handbook = workload{name: "handbook", perSecond: 2.24, meanPromptTokens: 133000, promptSigma: 0.55, maxPromptTokens: 600000, meanEvents: 15.8, eventsSigma: 0.5, objective: 2500 * time.Millisecond, maxEventGap: time.Second}
 )
 
 // scenario is the configuration of a simulation.
@@ -53,11 +67,13 @@
 	duration         time.Duration
 	propagationDelay time.Duration // of job updates; 0: hosts exchange none
 	randomPlacement  bool          // engines are chosen at random
+	impatientCallers bool          // callers leave when they have waited too long for the first event
 }
 
 // stats collects the results of one workload.
 type stats struct {
 	requests, inTime int
+	refused, left    int // callers that were refused, and that left before the first event
 	firstEventTimes  []time.Duration
 }
 
@@ -135,7 +151,9 @@
 		sim.placers = append(sim.placers, pl)
 	}
 	for _, wl := range s.workloads {
-		sim.statsByWorkload[wl.name] = &stats{}
+		if sim.statsByWorkload[wl.name] == nil {
+			sim.statsByWorkload[wl.name] = &stats{}
+		}
 		sim.scheduleArrivals(wl)
 	}
 	sim.run()
@@ -145,9 +163,13 @@
 // scheduleArrivals schedules the requests of a workload, which arrive as a Poisson
 // process.
 func (sim *simulation) scheduleArrivals(wl workload) {
-	for at := time.Duration(0); ; {
+	end := sim.duration
+	if wl.end > 0 {
+		end = wl.end
+	}
+	for at := wl.start; ; {
 		at += time.Duration(sim.random.ExpFloat64() / wl.perSecond * float64(time.Second))
-		if at > sim.duration {
+		if at > end {
 			return
 		}
 		r := request{at: at, tokens: int(sim.drawLogNormal(wl.meanPromptTokens, wl.promptSigma, wl.maxPromptTokens)), host: sim.random.IntN(sim.hosts)}
@@ -209,6 +231,11 @@
 
 func (sim *simulation) arrive(wl workload, r request) {
 	placed, engines := sim.place(wl, r)
+	if sim.impatientCallers && float64(placed.PredictedWait) > maxWaitRatio*float64(wl.abandonAfter()) {
+		placed.End(placement.Abandoned)
+		sim.statsByWorkload[wl.name].refused++
+		return
+	}
 	req := &passmodel.Request{PromptTokens: r.tokens, OutputEvents: r.events}
 	if placed.Late {
 		req.Priority = 1
@@ -232,12 +259,32 @@
 		}
 	}
 	sim.fleet.Submit(req, engines)
+	if !sim.impatientCallers {
+		return
+	}
+	sim.after(wl.abandonAfter(), func() {
+		if last > 0 {
+			return
+		}
+		sim.fleet.Cancel(req)
+		placed.End(placement.Abandoned)
+		st.left++
+	})
+}
+
+// maxWaitRatio is the ratio of the predicted wait to the time after which a caller
+// leaves from which a request is refused, as relay does.
+const maxWaitRatio = 1.5
+
+// abandonAfter is how long a caller waits for an event.
+func (wl workload) abandonAfter() time.Duration {
+	return max(2*time.Second, 4*wl.objective, 8*wl.maxEventGap)
 }
 
 func (sim *simulation) place(wl workload, r request) (*placement.Placement, []int) {
 	req := placement.Request{
 		Service: "llm", Engine: &engineSpec, PromptTokens: r.tokens, OutputTokens: r.outputHint,
-		Objective: wl.objective, MaxEventGap: wl.maxEventGap, AbandonAfter: 4 * wl.objective, Waited: sim.fleet.Now() - r.at,
+		Objective: wl.objective, MaxEventGap: wl.maxEventGap, AbandonAfter: wl.abandonAfter(), Waited: sim.fleet.Now() - r.at,
 	}
 	targets := sim.targets
 	if sim.randomPlacement {
@@ -310,11 +357,7 @@
 // than late.
 func TestShortPromptsAreNotStarvedByLongPromptBurst(t *testing.T) {
 	g := NewWithT(t)
-	burst := handbook
-	burst.perSecond *= 2.8
-	questions := question
-	questions.perSecond *= 0.4
-	got := simulate(scenario{workloads: []workload{questions, review, burst}, hosts: 6, engines: 23, duration: 15 * time.Second, propagationDelay: 3 * time.Millisecond}, 4)
+	got := simulate(scenario{workloads: []workload{question.scaled(0.4), review, handbook.scaled(2.8)}, hosts: 6, engines: 23, duration: 15 * time.Second, propagationDelay: 3 * time.Millisecond}, 4)
 	for name, st := range got {
 		t.Logf("%s: %d requests, %.3f in time", name, st.requests, st.inTimeShare())
 	}
@@ -334,3 +377,28 @@
 	t.Logf("%.3f in time", got["question"].inTimeShare())
 	g.Expect(got["question"].percentile(0.95)).To(BeNumerically("<=", 420*time.Millisecond))
 }
+
+// A burst of short prompts fills the decoding slots while engines still work on a burst
+// of long ones. Late prompts must not take the slots of those that can be in time: more
+// of the short prompts are in time than not.
+func TestShortPromptBurstAfterLongPromptBurst(t *testing.T) {
+	g := NewWithT(t)
+	const burstStart, end = 10 * time.Second, 18 * time.Second
+	shortBurst := question.scaled(2.2).during(burstStart, end)
+	shortBurst.name = "question in the burst"
+	s := scenario{
+		workloads: []workload{
+			question.scaled(0.4).during(0, burstStart), handbook.scaled(2.5).during(2*time.Second, burstStart),
+			shortBurst, handbook.scaled(0.4).during(burstStart, end),
+		},
+		hosts: 7, engines: 18, duration: end, propagationDelay: 15 * time.Millisecond, impatientCallers: true,
+	}
+	requests, inTime := 0, 0
+	for seed := range uint64(3) {
+		got := simulate(s, seed)[shortBurst.name]
+		t.Logf("%d requests, %.3f in time, %d refused, %d left, p95 %s", got.requests, got.inTimeShare(), got.refused, got.left, got.percentile(0.95))
+		requests += got.requests
+		inTime += got.inTime
+	}
+	g.Expect(float64(inTime) / float64(requests)).To(BeNumerically(">", 0.5))
+}
--- a/internal/placement/prefill_pool.go
+++ b/internal/placement/roles.go
@@ -24,6 +24,9 @@
 	// backlogDrainTime is the time within which a backlog of long prompts should be
 	// prefilled.
 	backlogDrainTime = 1500 * time.Millisecond
+	// minLateFraction is the fraction of the engines that take late short prompts even
+	// when the pool is smaller.
+	minLateFraction = 0.1
 	// decodeInPoolCost is the cost of decoding on an engine of the pool, in units of
 	// the request's weight.
 	decodeInPoolCost = 0.4
@@ -32,11 +35,12 @@
 	prefillOutsidePoolCost = 1.0
 )
 
-// assignPrefillPool marks as many engines for the prefill of long prompts as the
-// current demand takes, but leaves enough engines for decoding. All hosts use the
-// same order of the engines, so that hosts with the same knowledge of the load
-// mark the same ones.
-func assignPrefillPool(engines []*engineSnapshot, slots int, prefillDemand, shortPromptRate float64) {
+// assignRoles marks as many engines for the prefill of long prompts as the current
+// demand takes, but leaves enough engines for decoding, and marks the engines that take
+// late short prompts: those of the pool, whose slots are mostly free. All hosts use the
+// same order of the engines, so that hosts with the same knowledge of the load mark the
+// same ones.
+func assignRoles(engines []*engineSnapshot, slots int, prefillDemand, shortPromptRate float64) {
 	backlog, running := 0.0, 0.0
 	for _, snap := range engines {
 		backlog += snap.backlog.Seconds()
@@ -52,6 +56,9 @@
 	for _, snap := range ordered[:poolSize] {
 		snap.inPrefillPool = true
 	}
+	for _, snap := range ordered[:max(poolSize, int(math.Ceil(minLateFraction*n)))] {
+		snap.takesLate = true
+	}
 }
 
 // poolOrder is the sort key of an engine, equal on all hosts.
--- a/internal/standin/passmodel/passmodel.go
+++ b/internal/standin/passmodel/passmodel.go
@@ -34,6 +34,7 @@
 	pendingParts int     // parts not fully prefilled yet
 	emitted      int     // output events delivered so far
 	seq          int     // order of submission
+	cancelled    bool
 }
 
 // part is the share of a prompt that one engine prefills.
@@ -102,6 +103,22 @@
 	}
 }
 
+// Cancel removes a request, as when its caller disconnects. Its part of the current
+// passes is still computed.
+func (f *Fleet) Cancel(req *Request) {
+	req.cancelled = true
+	for _, e := range f.engines {
+		e.prefilling = slices.DeleteFunc(e.prefilling, func(p *part) bool { return p.req == req })
+	}
+	primary := req.primary
+	if i := slices.Index(primary.waiting, req); i >= 0 {
+		primary.waiting = slices.Delete(primary.waiting, i, i+1)
+		return
+	}
+	primary.decoding = slices.DeleteFunc(primary.decoding, func(r *Request) bool { return r == req })
+	primary.running--
+}
+
 // enqueueRemote queues a part of another engine's request ahead of the local
 // parts.
 func (e *engine) enqueueRemote(p *part) {
@@ -226,7 +243,7 @@
 	e.prefilled = nil
 	for _, p := range prefilled {
 		p.req.pendingParts--
-		if p.req.pendingParts > 0 {
+		if p.req.pendingParts > 0 || p.req.cancelled {
 			continue
 		}
 		primary := p.req.primary
