--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -71,7 +71,13 @@
 // AbandonAfter is the time without an event after which the caller of a stream is
 // assumed to disconnect.
 func (r *Route) AbandonAfter() time.Duration {
-	return max(minAbandonAfter, abandonObjectives*r.Objective, abandonEventGaps*r.MaxEventGap)
+	return AbandonAfter(r.Objective, r.MaxEventGap)
+}
+
+// AbandonAfter is the time without an event after which the caller of a stream with
+// the given objective and largest timely event gap is assumed to disconnect.
+func AbandonAfter(objective, maxEventGap time.Duration) time.Duration {
+	return max(minAbandonAfter, abandonObjectives*objective, abandonEventGaps*maxEventGap)
 }
 
 // Engine describes the capacity and the speed of a service's model engines. An
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -243,11 +243,11 @@
 func (c *chooser) interferenceCost(snap *engineSnapshot, prefillTime time.Duration) float64 {
 	sum := 0.0
 	before := snap.passTime + snap.backlog
-	for _, w := range snap.decoding {
-		sum += w.weight * (lateProbability(before+prefillTime, w.budget) - lateProbability(before, w.budget))
+	for _, b := range snap.decoding {
+		sum += b.costOfDelay(before, before+prefillTime)
 	}
-	for _, r := range snap.prefilling {
-		sum += r.weight * (lateProbability(before+prefillTime, r.budget) - lateProbability(before, r.budget))
+	for _, b := range snap.prefilling {
+		sum += b.costOfDelay(before, before+prefillTime)
 	}
 	extra := max(0, snap.backlog+prefillTime-blockingBacklog) - max(0, snap.backlog-blockingBacklog)
 	return sum + extra.Seconds()*c.shortRatePerEngine*c.blockedFraction
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -20,8 +20,8 @@
 	passTime    time.Duration   // between two events, without prefill
 	tokens      int             // memory in use, in tokens
 	streams     int             // requests past their first event
-	decoding    []latencyBudget // timely streams, with their largest event gap
-	prefilling  []latencyBudget // prompts, with the time left until their objective
+	decoding    []latencyBudget // of streams, until their next event
+	prefilling  []latencyBudget // of prompts, until their objective
 	running     int             // requests that hold a slot (prefilled) or are admitted before late ones
 	queuedLate  int             // late requests without a slot, admitted in order after all others
 	helperParts int             // parts of other engines' prompts, not yet prefilled
@@ -34,8 +34,32 @@
 
 // latencyBudget is the time within which a request needs its next event.
 type latencyBudget struct {
-	weight float64
-	budget time.Duration
+	weight  float64
+	timely  time.Duration // after which the answer is late; 0 if it is late already
+	patient time.Duration // after which the caller is assumed to disconnect; 0 if that is not counted
+}
+
+// decodeBudget returns the budget between two events of the answer.
+func (t *trackedJob) decodeBudget() latencyBudget {
+	b := latencyBudget{weight: t.Weight, timely: t.MaxEventGap, patient: catalog.AbandonAfter(t.Objective, t.MaxEventGap)}
+	if t.Late {
+		b.timely = 0
+	}
+	return b
+}
+
+// prefillBudget returns what is left of the budget until the first event. Callers that
+// leave before it are not counted: their prompts cost the engine nothing from then on.
+func (t *trackedJob) prefillBudget(now time.Time) latencyBudget {
+	return latencyBudget{weight: t.Weight, timely: t.Objective - now.Sub(t.placedAt)}
+}
+
+// costOfDelay is the expected cost of an event that comes at after instead of before,
+// in units of weight: the answer becomes late, and the caller may disconnect.
+func (b latencyBudget) costOfDelay(before, after time.Duration) float64 {
+	late := lateProbability(after, b.timely) - lateProbability(before, b.timely)
+	lost := lateProbability(after, b.patient) - lateProbability(before, b.patient)
+	return b.weight * (late + lost)
 }
 
 func newEngineSnapshot(l *targetLoad, e *catalog.Engine, now time.Time) *engineSnapshot {
@@ -57,11 +81,9 @@
 		case t.Prefilled && s.Decodes:
 			snap.streams++
 			context += s.Tokens
-			if !t.Late { // an event gap does not make a late answer later
-				snap.decoding = append(snap.decoding, latencyBudget{t.Weight, t.MaxEventGap})
-			}
+			snap.decoding = append(snap.decoding, t.decodeBudget())
 		case !t.Prefilled:
-			snap.prefilling = append(snap.prefilling, latencyBudget{t.Weight, t.Objective - now.Sub(t.placedAt)})
+			snap.prefilling = append(snap.prefilling, t.prefillBudget(now))
 		}
 	}
 	if snap.streams > 0 {
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -73,7 +73,7 @@
 // stats collects the results of one workload.
 type stats struct {
 	requests, inTime int
-	refused, left    int // callers that were refused, and that left before the first event
+	refused, left    int // callers that were refused, and that left since no event came
 	firstEventTimes  []time.Duration
 }
 
@@ -249,6 +249,9 @@
 		} else if now-last > wl.maxEventGap {
 			timely = false
 		}
+		if n > 1 && now-last > wl.abandonAfter() {
+			st.left++
+		}
 		last = now
 		if n < r.events {
 			return
@@ -394,7 +397,7 @@
 		hosts: 7, engines: 18, duration: end, propagationDelay: 15 * time.Millisecond, impatientCallers: true,
 	}
 	requests, inTime := 0, 0
-	for seed := range uint64(3) {
+	for seed := range uint64(12) {
 		got := simulate(s, seed)[shortBurst.name]
 		t.Logf("%d requests, %.3f in time, %d refused, %d left, p95 %s", got.requests, got.inTimeShare(), got.refused, got.left, got.percentile(0.95))
 		requests += got.requests
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -134,3 +134,28 @@
 	g.Expect(countOnFirst()).To(Equal(3))
 	g.Expect(placer.LocalJobs()).To(BeEmpty())
 }
+
+// Streams whose next event will be late in any case are still not to be held up until
+// their callers leave: a long prompt that has the time goes to the engine with the longer
+// backlog.
+func TestLongPromptDoesNotBreakLateStreams(t *testing.T) {
+	g := NewWithT(t)
+	placer, _ := newPlacer()
+	targets := plainTargets("north", "north")
+	remoteJob := func(id placement.JobID, target int, prefillTime time.Duration, prefilled bool) {
+		placer.RemoteStarted("peer", placement.Job{
+			ID: id, Service: "llm", Weight: 1, MaxEventGap: 250 * time.Millisecond, Prefilled: prefilled,
+			Shares: []placement.Share{{Target: targets[target].TargetKey, Decodes: true, PrefillTime: prefillTime}},
+		})
+	}
+	for id := placement.JobID(1); id <= 12; id++ {
+		remoteJob(id, 0, 0, true)
+	}
+	remoteJob(20, 0, 400*time.Millisecond, false)
+	remoteJob(21, 1, 900*time.Millisecond, false)
+	req := placement.Request{Service: "llm", Engine: &engineSpec, PromptTokens: 150_000, Objective: 8 * time.Second, MaxEventGap: time.Second}
+	placed, err := placer.Place(req, targets)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(placed.Primary.ID).To(Equal(targets[1].ID))
+	g.Expect(placed.Parts).To(BeEmpty())
+}
