--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -133,4 +133,4 @@
 
 // slotReleaseInterval is the expected time between two slot releases on an engine
 // whose slots are all in use.
-const slotReleaseInterval = 150 * time.Millisecond
+const slotReleaseInterval = 200 * time.Millisecond
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -19,6 +19,9 @@
 	// minBacklogFraction is the fraction of the unfinished prefill that is expected
 	// to remain when an engine takes longer than predicted.
 	minBacklogFraction = 0.25
+	// overdueGrace is how far a prefill may be behind its prediction before the engine
+	// counts as delayed.
+	overdueGrace = 600 * time.Millisecond
 
 	// Times for which a target gets no requests while others are eligible. An
 	// unreachable target is ejected for baseEjection at first; the time doubles
@@ -32,7 +35,8 @@
 // assignment is a job with its share at one target.
 type assignment struct {
 	*trackedJob
-	share Share
+	share       Share
+	prefillDone time.Time // predicted end of its prefill there
 }
 
 // targetLoad is this host's knowledge of one target: the jobs there and the recent
@@ -41,6 +45,7 @@
 	target        catalog.Target
 	jobs          []assignment
 	prefillDoneAt time.Time // predicted end of the prefill of all assigned prompts
+	lastPrefillAt time.Time // when a prompt was last prefilled here
 
 	failureRate   float64 // moving average over recent attempts, 0 to 1
 	failureRateAt time.Time
@@ -52,14 +57,24 @@
 
 // add adds a job's share.
 func (l *targetLoad) add(t *trackedJob, s Share, now time.Time) {
-	l.jobs = append(l.jobs, assignment{t, s})
-	if t.Prefilled || s.PrefillTime == 0 {
-		return
+	if !t.Prefilled && s.PrefillTime > 0 {
+		l.prefillDoneAt = now.Add(max(l.prefillDoneAt.Sub(now), l.minBacklog(t)) + s.PrefillTime)
 	}
-	if l.prefillDoneAt.Before(now) {
-		l.prefillDoneAt = now.Add(l.minBacklog(t))
+	l.jobs = append(l.jobs, assignment{t, s, l.prefillDoneAt})
+}
+
+// overdue returns how far the prefill of a prompt is behind its prediction, if none has
+// been prefilled here since the predicted time. The engine may work on prompts that this
+// host does not know, or not at all, and is expected to take as long again.
+func (l *targetLoad) overdue(now time.Time) time.Duration {
+	var longest time.Duration
+	for _, j := range l.jobs {
+		if j.Prefilled || j.Late || j.share.PrefillTime == 0 || !j.prefillDone.After(l.lastPrefillAt) {
+			continue
+		}
+		longest = max(longest, now.Sub(j.prefillDone)-overdueGrace)
 	}
-	l.prefillDoneAt = l.prefillDoneAt.Add(s.PrefillTime)
+	return longest
 }
 
 // remove removes a job's share.
@@ -96,7 +111,7 @@
 // backlog is the predicted time until the engine has prefilled all assigned
 // prompts.
 func (l *targetLoad) backlog(now time.Time) time.Duration {
-	return max(l.prefillDoneAt.Sub(now), l.minBacklog(nil))
+	return max(l.prefillDoneAt.Sub(now), l.minBacklog(nil), l.overdue(now))
 }
 
 func (l *targetLoad) decayedFailureRate(now time.Time) float64 {
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -68,6 +68,9 @@
 	propagationDelay time.Duration // of job updates; 0: hosts exchange none
 	randomPlacement  bool          // engines are chosen at random
 	impatientCallers bool          // callers leave when they have waited too long for the first event
+	// unknownPrompts is how many prompts of 500,000 tokens are prefilled on the first
+	// engines from the start, one on each, of which no host knows.
+	unknownPrompts int
 }
 
 // stats collects the results of one workload.
@@ -156,6 +159,9 @@
 		}
 		sim.scheduleArrivals(wl)
 	}
+	for i := range s.unknownPrompts {
+		sim.fleet.Submit(&passmodel.Request{PromptTokens: 500_000, OutputEvents: 1, OnEvent: func(int, time.Duration) {}}, []int{i})
+	}
 	sim.run()
 	return sim.statsByWorkload
 }
@@ -405,3 +411,28 @@
 	}
 	g.Expect(float64(inTime) / float64(requests)).To(BeNumerically(">", 0.5))
 }
+
+// Engines still work for hosts that have lost power, and no other host knows of that
+// work. The prompts that wait there beyond their prediction show it: of the prompts that
+// arrive later, no more are late than without these engines.
+func TestEnginesWithUnknownWorkAreAvoided(t *testing.T) {
+	g := NewWithT(t)
+	s := scenario{
+		workloads: []workload{question.scaled(0.8), review, handbook}, hosts: 7, engines: 18, duration: 8 * time.Second,
+		propagationDelay: 15 * time.Millisecond, impatientCallers: true,
+	}
+	requests, inTime, without := 0, 0, 0
+	for seed := range uint64(12) {
+		s.engines, s.unknownPrompts = 18, 4
+		got := simulate(s, seed)
+		s.engines, s.unknownPrompts = 14, 0
+		base := simulate(s, seed)
+		for name, st := range got {
+			requests += st.requests
+			inTime += st.inTime
+			without += base[name].inTime
+		}
+	}
+	t.Logf("%d requests, %d in time, %d without these engines", requests, inTime, without)
+	g.Expect(inTime).To(BeNumerically(">=", without))
+}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -191,6 +191,7 @@
 		if l == nil {
 			continue
 		}
+		l.lastPrefillAt = now
 		l.capBacklog(now)
 		if !share.Decodes {
 			l.remove(t)
--- a/internal/placement/roles.go
+++ b/internal/placement/roles.go
@@ -26,7 +26,7 @@
 	backlogDrainTime = 1500 * time.Millisecond
 	// minLateFraction is the fraction of the engines that take late short prompts even
 	// when the pool is smaller.
-	minLateFraction = 0.1
+	minLateFraction = 0.05
 	// decodeInPoolCost is the cost of decoding on an engine of the pool, in units of
 	// the request's weight.
 	decodeInPoolCost = 0.4
