--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -71,7 +71,8 @@
 func startStandin(t testing.TB, kind string, args ...string) process {
 	t.Helper()
 	g := gomega.NewWithT(t)
-	session := startProcess(t, append([]string{"standin", kind}, args...)...)
+	// An engine that crashes closes its port for a while and must get it back.
+	session := startProcess(t, append([]string{"standin", kind, "--addr=" + freeAddr(t).String()}, args...)...)
 	g.Eventually(session.Out, startTimeout).Should(gbytes.Say("listening on"))
 	found := listenPattern.FindSubmatch(session.Out.Contents())
 	return process{Session: session, addr: netip.MustParseAddrPort(string(found[1]))}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,13 +13,14 @@
 	"time"
 
 	"github.com/plantainrun/plantainrun/internal/engineapi"
+	"github.com/plantainrun/plantainrun/internal/loopback"
 	"github.com/plantainrun/plantainrun/internal/standin/enginemodel"
 )
 
 // Settings configures a stand-in engine.
 type Settings struct {
 	ID              string // target id
-	Addr            string // IP and port; empty: 127.0.0.1 and any port
+	Addr            string // IP and port; empty: a free address of loopback
 	Model           enginemodel.Config
 	BytesPerToken   float64         // bytes per prompt token; default 4
 	OutputTokens    int             // maximum length of a response; 0: the request's limit
@@ -93,7 +94,11 @@
 func (e *Engine) Start() error {
 	addr := e.settings.Addr
 	if addr == "" {
-		addr = "127.0.0.1:0"
+		free, err := loopback.FreeAddr()
+		if err != nil {
+			return err
+		}
+		addr = free.String()
 	}
 	inner, err := net.Listen("tcp", addr)
 	if err != nil {
