--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -34,16 +34,16 @@
 
 // latencyBudget is the time within which a request needs its next event.
 type latencyBudget struct {
-	weight  float64
-	timely  time.Duration // after which the answer is late; 0 if it is late already
-	patient time.Duration // after which the caller is assumed to disconnect; 0 if that is not counted
+	weight         float64
+	lateAfter      time.Duration // 0 if the answer is late already
+	abandonedAfter time.Duration // when the caller is assumed to disconnect; 0 if that is not counted
 }
 
 // decodeBudget returns the budget between two events of the answer.
 func (t *trackedJob) decodeBudget() latencyBudget {
-	b := latencyBudget{weight: t.Weight, timely: t.MaxEventGap, patient: catalog.AbandonAfter(t.Objective, t.MaxEventGap)}
+	b := latencyBudget{weight: t.Weight, lateAfter: t.MaxEventGap, abandonedAfter: catalog.AbandonAfter(t.Objective, t.MaxEventGap)}
 	if t.Late {
-		b.timely = 0
+		b.lateAfter = 0
 	}
 	return b
 }
@@ -51,15 +51,15 @@
 // prefillBudget returns what is left of the budget until the first event. Callers that
 // leave before it are not counted: their prompts cost the engine nothing from then on.
 func (t *trackedJob) prefillBudget(now time.Time) latencyBudget {
-	return latencyBudget{weight: t.Weight, timely: t.Objective - now.Sub(t.placedAt)}
+	return latencyBudget{weight: t.Weight, lateAfter: t.Objective - now.Sub(t.placedAt)}
 }
 
 // costOfDelay is the expected cost of an event that comes at after instead of before,
 // in units of weight: the answer becomes late, and the caller may disconnect.
 func (b latencyBudget) costOfDelay(before, after time.Duration) float64 {
-	late := lateProbability(after, b.timely) - lateProbability(before, b.timely)
-	lost := lateProbability(after, b.patient) - lateProbability(before, b.patient)
-	return b.weight * (late + lost)
+	late := lateProbability(after, b.lateAfter) - lateProbability(before, b.lateAfter)
+	abandoned := lateProbability(after, b.abandonedAfter) - lateProbability(before, b.abandonedAfter)
+	return b.weight * (late + abandoned)
 }
 
 func newEngineSnapshot(l *targetLoad, e *catalog.Engine, now time.Time) *engineSnapshot {
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -97,7 +97,8 @@
 }
 
 // releaseUnused releases memory that no attempt has used, or whose renewal has ended.
-// It returns when the release is answered or the lease must have expired.
+// It returns when the release is answered or the lease must have expired. A first
+// reserve call that is carried out later than that holds the memory for one lease.
 func (l *lease) releaseUnused() {
 	expiredAt := time.Now().Add(l.duration)
 	var err error
