--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -162,7 +162,7 @@
 	reserved := reservation(c.req, parts)
 	for i, snap := range c.engines {
 		ranked[i] = c.evaluate(snap, prefillTime)
-		if reserved > 0 && snap.tokens+reserved > c.engine.MemoryTokens {
+		if reserved > 0 && (snap.noMemory || snap.tokens+reserved > c.engine.MemoryTokens) {
 			ranked[i].total += overcommitCost * c.weight
 		}
 		if parts > 1 && snap.helperParts+helperSlotMargin >= c.engine.Slots {
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -26,6 +26,7 @@
 	queuedLate  int             // late requests without a slot, admitted in order after all others
 	helperParts int             // parts of other engines' prompts, not yet prefilled
 	penalty     time.Duration   // extra wait that recent failures count for
+	noMemory    bool            // it recently had no memory for a reservation
 	// inPrefillPool marks an engine that is preferred for parts of long prompts.
 	inPrefillPool bool
 	// takesLate marks an engine for short prompts that will be late in any case.
@@ -63,7 +64,7 @@
 }
 
 func newEngineSnapshot(l *targetLoad, e *catalog.Engine, now time.Time) *engineSnapshot {
-	snap := &engineSnapshot{load: l, backlog: l.backlog(now), penalty: l.penalty(now)}
+	snap := &engineSnapshot{load: l, backlog: l.backlog(now), penalty: l.penalty(now), noMemory: now.Sub(l.noMemoryAt) < noMemoryWindow}
 	context := 0
 	for _, j := range l.jobs {
 		t, s := j.trackedJob, j.share
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -23,6 +23,10 @@
 	// counts as delayed.
 	overdueGrace = 600 * time.Millisecond
 
+	// noMemoryWindow is how long an engine counts as full after it had no memory for a
+	// reservation.
+	noMemoryWindow = 500 * time.Millisecond
+
 	// Times for which a target gets no requests while others are eligible. An
 	// unreachable target is ejected for baseEjection at first; the time doubles
 	// with each such result until an attempt is served, up to maxEjection.
@@ -46,6 +50,7 @@
 	jobs          []assignment
 	prefillDoneAt time.Time // predicted end of the prefill of all assigned prompts
 	lastPrefillAt time.Time // when a prompt was last prefilled here
+	noMemoryAt    time.Time // when it last had no memory for a reservation
 
 	failureRate   float64 // moving average over recent attempts, 0 to 1
 	failureRateAt time.Time
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -234,6 +234,16 @@
 	}
 }
 
+// RecordNoMemory records that an engine had no free memory for a reservation.
+func (pl *Placer) RecordNoMemory(t catalog.Target) {
+	s := pl.shard(t.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.loads[t.TargetKey]; l != nil {
+		l.noMemoryAt = pl.now()
+	}
+}
+
 // FirstEvent records the first event of the answer, after which the prefill is
 // over.
 func (p *Placement) FirstEvent() {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -43,7 +43,7 @@
 	}
 	if j.waitTooLong(placed) {
 		placed.End(placement.Abandoned)
-		return resultRejected, ReasonInfeasible
+		return resultRejected, j.waitReason()
 	}
 	reservations, err := j.relay.reserve(ctx, j, placed)
 	if err != nil {
@@ -82,7 +82,7 @@
 	}
 	placed, err := j.relay.cfg.Placer.Place(req, targets)
 	switch {
-	case err != nil && j.failedReserveRounds > 0:
+	case err != nil && j.reserveFailed:
 		return nil, ReasonNoMemory
 	case err != nil:
 		return nil, ReasonNoTarget
@@ -118,6 +118,14 @@
 	return min(timeout, expected, maxIdle)
 }
 
+// waitReason is why a request whose wait is too long is refused.
+func (j *job) waitReason() Reason {
+	if j.reserveFailed {
+		return ReasonNoMemory
+	}
+	return ReasonInfeasible
+}
+
 // progressTimeout returns how long an attempt may take without progress before
 // it is cancelled.
 func (j *job) progressTimeout() time.Duration {
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -44,8 +44,7 @@
 	possibleArrivals   int      // attempts that may have reached a target
 	possibleExecutions int      // attempts that the target may have executed
 	triedTargets       []string // ids of targets that placement excludes
-	// failedReserveRounds counts the placements whose memory could not be reserved.
-	failedReserveRounds int
+	reserveFailed      bool     // the memory of a placement could not be reserved
 	// reserveCalls counts the calls of reserve. It is part of the reservation
 	// id, so that a delayed release cannot end a newer reservation.
 	reserveCalls    int
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -15,10 +15,11 @@
 const (
 	// orderTimeout is the timeout of one reserve or release call to an engine.
 	orderTimeout = 400 * time.Millisecond
-	// maxReserveRounds is how many placements may fail to reserve memory before
-	// the request is refused.
-	maxReserveRounds  = 4
-	reserveRetryDelay = 150 * time.Millisecond
+	// reserveRetryDelay is the delay after a placement whose memory could not be
+	// reserved, and minReserveWait the shortest time for which further placements are
+	// tried; a request with a longer objective waits until then.
+	reserveRetryDelay = 250 * time.Millisecond
+	minReserveWait    = 500 * time.Millisecond
 )
 
 // reservationSet is the engine memory reserved for one attempt. Its leases are
@@ -98,10 +99,7 @@
 		return nil
 	}
 	for i, l := range leases {
-		if errs[i] != nil {
-			j.triedTargets = append(j.triedTargets, l.part.Target.ID)
-			j.log("memory not reserved", zap.String("target", l.part.Target.ID), zap.Int("tokens", l.part.Tokens), zap.Error(errs[i]))
-		}
+		j.handleAcquireError(l, errs[i])
 		if !errors.Is(errs[i], ErrNoMemory) {
 			r.releases.group.Go(l.releaseUnused)
 		}
@@ -109,11 +107,26 @@
 	return err
 }
 
-// handleReserveFailure allows another placement after a delay, up to
-// maxReserveRounds failures.
+// handleAcquireError records why an engine's memory could not be reserved. An engine
+// without free memory may have some soon; one that does not respond is not tried again.
+func (j *job) handleAcquireError(l *lease, err error) {
+	if err == nil {
+		return
+	}
+	if errors.Is(err, ErrNoMemory) {
+		j.relay.cfg.Placer.RecordNoMemory(l.part.Target)
+	} else {
+		j.triedTargets = append(j.triedTargets, l.part.Target.ID)
+	}
+	j.log("memory not reserved", zap.String("target", l.part.Target.ID), zap.Int("tokens", l.part.Tokens), zap.Error(err))
+}
+
+// handleReserveFailure allows another placement after a delay, until the objective has
+// passed: memory becomes free as other requests end.
 func (j *job) handleReserveFailure(ctx context.Context) (attemptResult, Reason) {
-	j.failedReserveRounds++
-	if j.failedReserveRounds >= maxReserveRounds || ctx.Err() != nil {
+	j.reserveFailed = true
+	waitUntil := j.req.Arrived.Add(max(minReserveWait, j.route.Objective))
+	if time.Now().Add(reserveRetryDelay).After(waitUntil) {
 		return resultRejected, ReasonNoMemory
 	}
 	select {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -276,3 +276,18 @@
 		g.Expect(w.transport.sends).To(BeZero())
 	})
 }
+
+// All engines are full when the prompt arrives, and memory becomes free before its
+// objective has passed. The caller is not sent away meanwhile.
+func TestLongPromptWaitsForMemory(t *testing.T) {
+	inVirtualTime(t, func(g *WithT, ctx context.Context) {
+		w := newHarness(always(behaviour{status: 200, events: 3}))
+		freeAt := time.Now().Add(1500 * time.Millisecond)
+		w.transport.noMemory = func(string) bool { return time.Now().Before(freeAt) }
+		r := w.serve(ctx, relay.Request{URI: "/patient/1", PromptTokens: 300000})
+		g.Expect(r.refusal).To(BeNil())
+		g.Expect(r.body.String()).To(Equal(events(1, 3)))
+		w.relay.WaitForReleases(ctx)
+		g.Expect(w.transport.reservationCount()).To(BeZero())
+	})
+}
