Relay: log and count the rate limits that targets name

The answer's limit is now read, each change is logged with the target, and plantainrun_edge_rate_limited_targets counts the targets that name one. Nothing is decided by it yet. An answer without a limit removes a known one only if its request was sent after the limit was learned, since answers overtake each other.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -92,7 +92,7 @@
 	}
 	h.follower = follow.New(follow.NewSharedSource(adapter.Source, h.peers, settings.ApplyWithin, log), log)
 	h.follower.OnChanged(h.dropRemovedTargets)
-	h.metrics = newMetrics(h.follower)
+	h.metrics = newMetrics(h.follower, h.placer)
 	h.relay = relay.New(relay.Config{
 		Views:       h.follower,
 		Placer:      h.placer,
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/plantainrun/plantainrun/internal/follow"
+	"github.com/plantainrun/plantainrun/internal/placement"
 	"github.com/plantainrun/plantainrun/internal/relay"
 )
 
@@ -29,7 +30,7 @@
 	active     prometheus.Gauge
 }
 
-func newMetrics(f *follow.Follower) *metrics {
+func newMetrics(f *follow.Follower, placer *placement.Placer) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -52,6 +53,7 @@
 	m.registerGauge("view_age_seconds", "Time since the view of the store was confirmed.", func() float64 { return f.Age().Seconds() })
 	m.registerGauge("store_calls", "Calls to the store.", func() float64 { calls, _ := f.Stats(); return float64(calls) })
 	m.registerGauge("store_failures", "Calls to the store without a usable answer.", func() float64 { _, failures := f.Stats(); return float64(failures) })
+	m.registerGauge("rate_limited_targets", "Targets that name a rate limit.", func() float64 { return float64(placer.RateLimitedTargets()) })
 	return m
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -55,11 +55,15 @@
 	defer cancel()
 	watchdog := newWatchdog(cancel, j.firstEventTimeout(placed, reservations))
 	defer watchdog.stop()
+	sentAt := time.Now()
 	resp, err := j.send(sendCtx, placed, reservations)
 	if err != nil {
 		return j.handleSendError(ctx, placed, err)
 	}
 	defer resp.Body.Close()
+	if !resp.Misdirected {
+		j.recordRateLimit(placed.Primary, resp.RateLimit, sentAt)
+	}
 	return j.handleResponse(ctx, placed, resp, watchdog)
 }
 
@@ -192,6 +196,16 @@
 	return resultUnknown, ReasonNoUsableResponse
 }
 
+// recordRateLimit records the rate limit that a target names in an answer to a request
+// sent at sentAt.
+func (j *job) recordRateLimit(target catalog.Target, limit placement.RateLimit, sentAt time.Time) {
+	if !j.relay.cfg.Placer.RecordRateLimit(target, limit, sentAt) {
+		return
+	}
+	j.relay.cfg.Log.Info("rate limit of a target changed", zap.String("target", target.ID), zap.String("service", target.Service),
+		zap.Bool("limited", limit.Named), zap.Float64("per_second", limit.PerSecond))
+}
+
 // handleResponse decides whether the request was executed and relays the
 // response or returns why another attempt is needed.
 func (j *job) handleResponse(ctx context.Context, placed *placement.Placement, resp *Response, watchdog *watchdog) (attemptResult, Reason) {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/placement"
 )
 
 // Request is a caller's request with its complete body.
@@ -79,6 +80,8 @@
 	// FaultAddr is the address of the engine that caused the refusal, which may be
 	// a helper; empty if not given.
 	FaultAddr string
+	// RateLimit is the rate of requests that the target accepts from all hosts.
+	RateLimit placement.RateLimit
 	Body      io.ReadCloser
 }
 
