--- /dev/null
+++ b/internal/relay/fleet_test.go
@@ -0,0 +1,350 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/placement"
+	"github.com/plantainrun/plantainrun/internal/relay"
+)
+
+// A fleet is a set of hosts with their own relays and placers in virtual time. They
+// share targets and exchange updates over a simulated network, which delays them,
+// loses them during a cut, and resynchronises hosts that see each other again.
+
+const (
+	// updateDelay is the time after which an update of a host reaches the others
+	// through a hub.
+	updateDelay = 18 * time.Millisecond
+	// peerTimeout is the silence after which a host is considered gone.
+	peerTimeout = 3500 * time.Millisecond
+	// reconnectDelay is the time from the end of a cut until hosts are connected.
+	reconnectDelay = 1500 * time.Millisecond
+)
+
+// fleet runs hosts, callers and targets. Its methods are called by the test's
+// goroutine.
+type fleet struct {
+	targets *fleetTargets
+	source  *fakeSource
+	random  *rand.Rand
+
+	mu    sync.Mutex
+	hosts []*fleetHost
+}
+
+// fleetHost is one host of a fleet.
+type fleetHost struct {
+	fleet  *fleet
+	id     string
+	relay  *relay.Relay
+	placer *placement.Placer
+
+	// The mutex of the fleet protects the following.
+	gone        bool
+	frozenUntil time.Time
+	partition   int // hosts of different partitions do not reach each other
+	// disturbedAt is when the host last started, froze, woke, or lost or found peers.
+	disturbedAt time.Time
+}
+
+func newFleet(size int, source *fakeSource, targets *fleetTargets) *fleet {
+	f := &fleet{source: source, targets: targets, random: rand.New(rand.NewPCG(1, uint64(size)))}
+	for range size {
+		f.join()
+	}
+	return f
+}
+
+// join adds a host that learns of the jobs in progress from the others.
+func (f *fleet) join() *fleetHost {
+	f.mu.Lock()
+	h := &fleetHost{fleet: f, id: fmt.Sprint("host-", len(f.hosts)), disturbedAt: time.Now()}
+	h.placer = placement.NewPlacer(time.Now, uint64(len(f.hosts)))
+	h.placer.SetPropagationDelay(updateDelay)
+	h.placer.SetObserver(h)
+	h.relay = relay.New(relay.Config{
+		Views: newStaticView(f.source), Placer: h.placer, Transport: &fleetTransport{host: h}, RetryBudget: unlimitedRetries{},
+		Observer: noopObserver{}, Peers: h, Log: zap.NewNop(), HostID: h.id,
+		Settings: relay.Settings{ReservationLease: reservationLease},
+	})
+	f.hosts = append(f.hosts, h)
+	f.mu.Unlock()
+	f.resync()
+	return h
+}
+
+// leave removes a host. The others notice after peerTimeout.
+func (f *fleet) leave(h *fleetHost) {
+	f.mu.Lock()
+	h.gone = true
+	f.mu.Unlock()
+	time.AfterFunc(peerTimeout, f.forgetUnreachable)
+}
+
+// freeze stops a host for a while: it neither sends nor receives updates, and callers'
+// requests wait until it wakes.
+func (f *fleet) freeze(h *fleetHost, d time.Duration) {
+	f.mu.Lock()
+	h.frozenUntil = time.Now().Add(d)
+	f.disturb(h)
+	f.mu.Unlock()
+	time.AfterFunc(peerTimeout, f.forgetUnreachable)
+	time.AfterFunc(d, func() { f.mu.Lock(); f.disturb(h); f.mu.Unlock() })
+	time.AfterFunc(d+reconnectDelay, f.resync)
+}
+
+// cut separates hosts from the others for a while. All of them still reach the targets.
+func (f *fleet) cut(hosts []*fleetHost, d time.Duration) {
+	f.setPartition(hosts, 1)
+	time.AfterFunc(peerTimeout, f.forgetUnreachable)
+	time.AfterFunc(d, func() { f.setPartition(hosts, 0) })
+	time.AfterFunc(d+reconnectDelay, f.resync)
+}
+
+func (f *fleet) setPartition(hosts []*fleetHost, partition int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range hosts {
+		h.partition = partition
+		f.disturb(h)
+	}
+}
+
+// disturb records a disturbance of a host. The caller holds mu.
+func (f *fleet) disturb(h *fleetHost) { h.disturbedAt = time.Now() }
+
+// connected reports whether updates of a reach b. The caller holds mu.
+func (f *fleet) connected(a, b *fleetHost) bool {
+	now := time.Now()
+	return a != b && !a.gone && !b.gone && a.partition == b.partition && !now.Before(a.frozenUntil) && !now.Before(b.frozenUntil)
+}
+
+// peersOf returns the hosts that a host's updates reach.
+func (f *fleet) peersOf(h *fleetHost) []*fleetHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*fleetHost
+	for _, peer := range f.hosts {
+		if f.connected(h, peer) {
+			out = append(out, peer)
+		}
+	}
+	return out
+}
+
+// all returns the hosts that have not left.
+func (f *fleet) all() []*fleetHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*fleetHost
+	for _, h := range f.hosts {
+		if !h.gone {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// forgetUnreachable drops the jobs of peers that a host has not heard of for long.
+func (f *fleet) forgetUnreachable() {
+	for _, h := range f.all() {
+		reachable := make(map[*fleetHost]bool)
+		for _, peer := range f.peersOf(h) {
+			reachable[peer] = true
+		}
+		for _, peer := range f.hosts {
+			if peer != h && !reachable[peer] {
+				h.placer.ForgetHost(peer.id)
+			}
+		}
+	}
+}
+
+// resync sends all jobs in progress to each reachable host, as a new connection does.
+func (f *fleet) resync() {
+	for _, h := range f.all() {
+		jobs := h.placer.LocalJobs()
+		for _, peer := range f.peersOf(h) {
+			peer.placer.ForgetHost(h.id)
+			for _, job := range jobs {
+				peer.placer.RemoteStarted(h.id, job)
+			}
+		}
+	}
+}
+
+// broadcast applies an update at all hosts that the host's updates reach by then.
+func (h *fleetHost) broadcast(apply func(peer *fleetHost)) {
+	time.AfterFunc(updateDelay, func() {
+		for _, peer := range h.fleet.peersOf(h) {
+			apply(peer)
+		}
+	})
+}
+
+func (h *fleetHost) JobStarted(job placement.Job) {
+	h.broadcast(func(peer *fleetHost) { peer.placer.RemoteStarted(h.id, job) })
+}
+
+func (h *fleetHost) JobPrefilled(id placement.JobID) {
+	h.broadcast(func(peer *fleetHost) { peer.placer.RemotePrefilled(h.id, id) })
+}
+
+func (h *fleetHost) JobEnded(id placement.JobID) {
+	h.broadcast(func(peer *fleetHost) { peer.placer.RemoteEnded(h.id, id) })
+}
+
+func (h *fleetHost) Crashed(request uint64, target catalog.TargetKey) {
+	h.broadcast(func(peer *fleetHost) { peer.relay.RecordPeerCrash(request, target) })
+}
+
+// calm reports whether the host has not been disturbed for a while.
+func (h *fleetHost) calm(d time.Duration) bool {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	return time.Since(h.disturbedAt) >= d
+}
+
+// serve passes a request to the host once it is awake.
+func (h *fleetHost) serve(req relay.Request) *recordedResponse {
+	h.fleet.mu.Lock()
+	wake := h.frozenUntil
+	h.fleet.mu.Unlock()
+	time.Sleep(time.Until(wake))
+	req.Host, req.Key, req.Path, req.Arrived, req.Header = "shop", validKey, req.URI, time.Now(), http.Header{}
+	r := &recordedResponse{}
+	h.relay.Serve(context.Background(), &req, r)
+	return r
+}
+
+// load sends requests at random hosts for a while, with exponentially distributed
+// pauses, and returns the responses after all have ended.
+func (f *fleet) load(d time.Duration, perSecond float64, next func(i int) relay.Request) []*recordedResponse {
+	var responses []*recordedResponse
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	end := time.Now().Add(d)
+	for i := 0; time.Now().Before(end); i++ {
+		hosts := f.all()
+		h, req := hosts[f.random.IntN(len(hosts))], next(i)
+		req.ID = fmt.Sprint("request-", i)
+		group.Go(func() {
+			r := h.serve(req)
+			mu.Lock()
+			defer mu.Unlock()
+			responses = append(responses, r)
+		})
+		time.Sleep(time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second)))
+	}
+	group.Wait()
+	return responses
+}
+
+// unlimitedRetries allows every retry.
+type unlimitedRetries struct{}
+
+func (unlimitedRetries) RecordFirstAttempt(string) {}
+func (unlimitedRetries) AllowRetry(string) bool    { return true }
+
+// arrival is a request that reached a target.
+type arrival struct {
+	target string
+	host   *fleetHost
+	at     time.Time
+	calm   bool // the host was calm
+	toldAt time.Time
+}
+
+// fleetTargets are the targets of a fleet. They answer after a delay and record
+// arrivals.
+type fleetTargets struct {
+	delay time.Duration
+
+	mu       sync.Mutex
+	limits   map[string]placement.RateLimit // by target
+	namedAt  map[string]time.Time           // first naming of a limit, by target
+	told     map[string]time.Time           // first answer with a limit, by target and host
+	arrivals []arrival
+}
+
+func newFleetTargets(delay time.Duration) *fleetTargets {
+	return &fleetTargets{
+		delay: delay, limits: make(map[string]placement.RateLimit),
+		namedAt: make(map[string]time.Time), told: make(map[string]time.Time),
+	}
+}
+
+// setLimit makes a target name a limit in all answers from now on, or none if
+// perSecond is negative.
+func (t *fleetTargets) setLimit(target string, perSecond float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limits[target] = placement.RateLimit{PerSecond: max(perSecond, 0), Named: perSecond >= 0}
+	t.namedAt[target] = time.Now()
+}
+
+// calmTime is how long a host must be undisturbed for its requests to count.
+const calmTime = 3 * time.Second
+
+func (t *fleetTargets) arrive(target string, h *fleetHost) placement.RateLimit {
+	calm := h.calm(calmTime)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limit, now := t.limits[target], time.Now()
+	t.arrivals = append(t.arrivals, arrival{target: target, host: h, at: now, calm: calm, toldAt: t.told[target+"/"+h.id]})
+	return limit
+}
+
+// answered records that a host has passed on an answer of a target.
+func (t *fleetTargets) answered(target string, h *fleetHost, limit placement.RateLimit) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := target + "/" + h.id
+	if limit.Named && t.told[key].IsZero() {
+		t.told[key] = time.Now()
+	}
+}
+
+// count returns the number of requests that reached a target in a period.
+func (t *fleetTargets) count(target string, from, to time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, a := range t.arrivals {
+		if a.target == target && !a.at.Before(from) && a.at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// fleetTransport is one host's transport to the targets of its fleet.
+type fleetTransport struct{ host *fleetHost }
+
+func (tr *fleetTransport) Send(_ context.Context, call relay.Call) (*relay.Response, error) {
+	targets, id := tr.host.fleet.targets, call.Target.ID
+	limit := targets.arrive(id, tr.host)
+	time.Sleep(targets.delay)
+	targets.answered(id, tr.host, limit)
+	resp := &relay.Response{Status: http.StatusOK, Header: http.Header{}, Authentic: true, RateLimit: limit, Body: io.NopCloser(strings.NewReader("done"))}
+	if strings.HasPrefix(call.Request.URI, "/chat/") {
+		resp.Stream = true
+		resp.Body = io.NopCloser(strings.NewReader(events(1, streamEvents)))
+	}
+	return resp, nil
+}
+
+func (tr *fleetTransport) Reserve(context.Context, catalog.Target, string, int, time.Duration) error {
+	return nil
+}
+func (tr *fleetTransport) Release(context.Context, catalog.Target, string) error { return nil }
