Placement: keep the rate limits that targets name, all hosts together

Cause: the class is a limit of the whole fleet that no host knew of. What an answer says about its target was relayed and not read. Each host would also have needed to know what the others send.

Change: a token bucket for each target counts the requests of all hosts, which report their jobs to each other already. A limit, a change and its end are told to peers and to a host that joins. Hosts that hear only part of the others use as much of the limit. A free token is taken with a probability that falls with what others are expected to send unseen, so that 300 hosts do not take it at once; overdrafts are made up for. With all targets at their limit a request waits until its objective and is then refused with the time to come back.

Rejected: one owner for each target that hands out permits (a round trip, and a frozen owner stops its targets); equal shares for each host (a limit of one a second leaves 300 hosts a request in five minutes each).

--- a/internal/peers/accept.go
+++ b/internal/peers/accept.go
@@ -73,7 +73,6 @@
 // inbound describes a connection that a peer opened.
 type inbound struct {
 	host  string
-	seq   uint64
 	jobs  bool // carries the peer's jobs
 	relay bool // this host relays the peer's updates to its failure domain
 }
@@ -122,9 +121,7 @@
 func (s *Service) registerInbound(hello *peerspb.News) *inbound {
 	in := &inbound{host: hello.GetFrom().GetId(), jobs: hello.GetJobs(), relay: hello.GetPassOn()}
 	s.mu.Lock()
-	s.inboundSeq++
-	in.seq = s.inboundSeq
-	s.inbound[in.host] = in.seq
+	s.inbound[in.host] = in
 	if !in.relay {
 		delete(s.relaying, in.host) // another host relays its updates
 	}
@@ -141,7 +138,7 @@
 func (s *Service) unregisterInbound(in *inbound) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inbound[in.host] != in.seq {
+	if s.inbound[in.host] != in {
 		return false
 	}
 	delete(s.inbound, in.host)
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -50,3 +50,17 @@
 	}
 	return j
 }
+
+func encodeRateLimit(r placement.TargetRateLimit) *peerspb.RateLimit {
+	return &peerspb.RateLimit{
+		Service: r.Service, Target: r.Target.ID, Born: r.Target.StartUnixMilli, Named: r.Limit.Named, PerSecond: r.Limit.PerSecond,
+	}
+}
+
+func decodeRateLimit(pb *peerspb.RateLimit) placement.TargetRateLimit {
+	return placement.TargetRateLimit{
+		Service: pb.GetService(),
+		Target:  catalog.TargetKey{ID: pb.GetTarget(), StartUnixMilli: pb.GetBorn()},
+		Limit:   placement.RateLimit{Named: pb.GetNamed(), PerSecond: pb.GetPerSecond()},
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -89,12 +89,11 @@
 	inboundAsks   atomic.Int64         // requests of peers that wait for a change
 	lastAskAt     atomic.Int64         // last request of a peer, in Unix nanoseconds; 0 if never
 
-	mu         sync.Mutex
-	links      map[netip.AddrPort]*link
-	inbound    map[string]uint64 // sequence number of the current connection, by peer id
-	inboundSeq uint64            // last assigned sequence number
-	relayedBy  map[string]string // by host of another domain, the peer that relays its updates
-	relaying   map[string]bool   // hosts whose updates this host relays
+	mu        sync.Mutex
+	links     map[netip.AddrPort]*link
+	inbound   map[string]*inbound // current connection, by peer id
+	relayedBy map[string]string   // by host of another domain, the peer that relays its updates
+	relaying  map[string]bool     // hosts whose updates this host relays
 }
 
 // New returns a Service. It does nothing until Start is called.
@@ -108,7 +107,7 @@
 		pendingAsks: pendingAsks{responses: make(map[uint64]chan *peerspb.Passed)},
 		deflater:    deflater{cache: make(map[string]*peerspb.Entry)},
 		links:       make(map[netip.AddrPort]*link),
-		inbound:     make(map[string]uint64),
+		inbound:     make(map[string]*inbound),
 	}
 }
 
@@ -142,6 +141,7 @@
 	for {
 		s.reconcileLinks(ctx)
 		s.cfg.Placer.SetPropagationDelay(s.propagationDelay())
+		s.cfg.Placer.SetPeers(s.countedHosts(), s.HostCount())
 		s.cfg.Placer.ExpireRemoteJobs()
 		select {
 		case <-ctx.Done():
@@ -164,6 +164,20 @@
 	return directDelay
 }
 
+// countedHosts returns the number of hosts whose jobs this host receives, directly or
+// through a hub, including this one.
+func (s *Service) countedHosts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 1 + len(s.relayedBy)
+	for host, in := range s.inbound {
+		if _, relayed := s.relayedBy[host]; in.jobs && !relayed {
+			count++
+		}
+	}
+	return count
+}
+
 // reconcileLinks closes links whose route is gone or has changed and opens missing
 // ones.
 func (s *Service) reconcileLinks(ctx context.Context) {
@@ -206,6 +220,12 @@
 	s.broadcast(func(n *peerspb.News) { n.Crashes = append(n.Crashes, c) })
 }
 
+// RateLimitChanged tells peers the rate limit of a target.
+func (s *Service) RateLimitChanged(limit placement.TargetRateLimit) {
+	pb := encodeRateLimit(limit)
+	s.broadcast(func(n *peerspb.News) { n.RateLimits = append(n.RateLimits, pb) })
+}
+
 // broadcast queues an event on all links that carry this host's jobs.
 func (s *Service) broadcast(add func(*peerspb.News)) {
 	s.mu.Lock()
@@ -248,7 +268,7 @@
 	}
 }
 
-// applyJobs applies a host's updates of its own jobs and its crash reports.
+// applyJobs applies a host's updates of its own jobs and its reports on targets.
 func (s *Service) applyJobs(host string, n *peerspb.News) {
 	for _, j := range n.GetStarted() {
 		s.cfg.Placer.RemoteStarted(host, decodeJob(j))
@@ -262,4 +282,7 @@
 	for _, c := range n.GetCrashes() {
 		s.crashes.RecordPeerCrash(c.GetFingerprint(), catalog.TargetKey{ID: c.GetTarget(), StartUnixMilli: c.GetBorn()})
 	}
+	for _, r := range n.GetRateLimits() {
+		s.cfg.Placer.RecordPeerRateLimit(decodeRateLimit(r))
+	}
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -130,6 +130,11 @@
 	for _, h := range south {
 		g.Eventually(h.crashes, eventuallyTimeout).Should(ContainElement(BeEquivalentTo(77)))
 	}
+	limit := placement.TargetRateLimit{Service: "orders", Target: targets[0].TargetKey, Limit: placement.RateLimit{PerSecond: 1.5, Named: true}}
+	sender.RateLimitChanged(limit)
+	for _, h := range south {
+		g.Eventually(h.placer.RateLimits, eventuallyTimeout).Should(ConsistOf(limit))
+	}
 	for _, stopped := range south[:3] { // the hub may be among them
 		stopped.cancel()
 	}
@@ -215,3 +220,19 @@
 		return err
 	}, 2*eventuallyTimeout).Should(MatchError(follow.ErrPeersStale))
 }
+
+func TestHostThatJoinsLearnsOfRateLimits(t *testing.T) {
+	g := NewWithT(t)
+	hosts := startFleet(t, "north", "south", "south", "south", "south", "south", "south")
+	limit := placement.TargetRateLimit{Service: "orders", Target: targets[0].TargetKey, Limit: placement.RateLimit{PerSecond: 1.5, Named: true}}
+	hosts[0].placer.RecordPeerRateLimit(limit)
+	hosts[0].RateLimitChanged(limit)
+	for _, h := range hosts[1:] {
+		g.Eventually(h.placer.RateLimits, eventuallyTimeout).Should(ConsistOf(limit))
+	}
+	for _, domain := range []string{"north", "south"} {
+		joined := &host{addr: freeAddr(g), changed: make(chan struct{})}
+		joined.start(t, "late-"+domain, domain, hosts[0].addr)
+		g.Eventually(joined.placer.RateLimits, eventuallyTimeout).Should(ConsistOf(limit))
+	}
+}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -20,6 +20,8 @@
 	observer         JobObserver
 	lastID           atomic.Uint64
 	propagationDelay atomic.Int64 // of peers' job updates, in nanoseconds
+	countedHosts     atomic.Int64 // hosts whose jobs this host knows, this one included
+	knownHosts       atomic.Int64 // all hosts, this one included
 
 	mu     sync.RWMutex
 	shards map[string]*shard
@@ -27,19 +29,24 @@
 
 // shard holds the targets and the jobs of one service.
 type shard struct {
-	mu        sync.Mutex
-	loads     map[catalog.TargetKey]*targetLoad
-	local     map[JobID]*trackedJob
-	remote    map[string]map[JobID]*trackedJob // by peer
-	demand    demand
-	random    *rand.Rand
-	lastProbe map[string]time.Time // by failure domain: when a request last probed it while unreachable
+	service string
+
+	mu          sync.Mutex
+	loads       map[catalog.TargetKey]*targetLoad
+	local       map[JobID]*trackedJob
+	remote      map[string]map[JobID]*trackedJob // by peer
+	demand      demand
+	ownAttempts rate // calls of Place, by this host alone
+	random      *rand.Rand
+	lastProbe   map[string]time.Time // by failure domain: when a request last probed it while unreachable
 }
 
 // NewPlacer returns a Placer without jobs. It reads the time from now and seeds
 // the random choice between equal targets with seed.
 func NewPlacer(now func() time.Time, seed uint64) *Placer {
-	return &Placer{now: now, seed: seed, observer: noopObserver{}, shards: make(map[string]*shard)}
+	pl := &Placer{now: now, seed: seed, observer: noopObserver{}, shards: make(map[string]*shard)}
+	pl.SetPeers(1, 1)
+	return pl
 }
 
 // SetObserver sets the observer of this host's jobs. Call it before Place.
@@ -59,6 +66,7 @@
 	defer pl.mu.Unlock()
 	if s = pl.shards[service]; s == nil {
 		s = &shard{
+			service:   service,
 			loads:     make(map[catalog.TargetKey]*targetLoad),
 			local:     make(map[JobID]*trackedJob),
 			remote:    make(map[string]map[JobID]*trackedJob),
@@ -101,15 +109,18 @@
 }
 
 // Place chooses among targets and adds the request to the load of the chosen
-// ones. It returns ErrNoTarget if too few of them are eligible.
+// ones. It returns ErrNoTarget if too few of them are eligible, and a
+// *RateLimitedError if their rate limits permit no request at the moment.
 func (pl *Placer) Place(req Request, targets []catalog.Target) (*Placement, error) {
 	s := pl.shard(req.Service)
 	now := pl.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	candidates := s.candidates(req, targets, now)
-	if len(candidates) == 0 || len(candidates) < minParts(&req) {
-		return nil, ErrNoTarget
+	view := pl.fleetView()
+	s.ownAttempts.add(1, now)
+	candidates, err := s.candidates(req, targets, view, now)
+	if err != nil {
+		return nil, err
 	}
 	p := &Placement{placer: pl, shard: s}
 	var shares []Share
@@ -124,15 +135,18 @@
 		Objective: req.Objective - req.Waited, MaxEventGap: req.MaxEventGap, Prefilled: req.Engine == nil, Late: p.Late,
 	}}
 	s.add(p.job, now)
+	s.countRequest(&p.job.Job, view, now)
 	s.local[p.job.ID] = p.job
 	pl.observer.JobStarted(p.job.Job)
 	return p, nil
 }
 
-// candidates returns the eligible targets. Ejected targets, and those of
-// unreachable failure domains, are used only if there are no others.
-func (s *shard) candidates(req Request, targets []catalog.Target, now time.Time) []*targetLoad {
+// candidates returns the eligible targets, at least as many as the request needs.
+// Ejected targets, and those of unreachable failure domains, are used only if there
+// are no others. Targets whose rate limit is reached are not used at all.
+func (s *shard) candidates(req Request, targets []catalog.Target, view fleetView, now time.Time) ([]*targetLoad, error) {
 	var healthy, unhealthy []*targetLoad
+	var limited *RateLimitedError
 	unreachable := s.unreachableDomains(now)
 	for _, t := range targets {
 		if slices.Contains(req.ExcludedTargets, t.ID) {
@@ -140,16 +154,28 @@
 		}
 		l := s.load(t.TargetKey)
 		l.target = t
+		if wait := s.rateLimitWait(l, view, now); wait > 0 {
+			limited = limited.earlier(wait)
+			continue
+		}
 		if l.ejected(now) || unreachable[t.Domain] {
 			unhealthy = append(unhealthy, l)
 		} else {
 			healthy = append(healthy, l)
 		}
 	}
-	if len(healthy) == 0 {
-		return unhealthy
+	candidates := healthy
+	if len(candidates) == 0 {
+		candidates = unhealthy
+	}
+	switch {
+	case len(candidates) >= max(minParts(&req), 1):
+		return candidates, nil
+	case limited != nil:
+		return nil, limited
+	default:
+		return nil, ErrNoTarget
 	}
-	return healthy
 }
 
 // maxCandidates is the largest number of engines compared for one prompt.
--- a/internal/placement/remote.go
+++ b/internal/placement/remote.go
@@ -49,6 +49,7 @@
 	t := &trackedJob{Job: job, peer: peer, placedAt: now}
 	jobs[job.ID] = t
 	s.add(t, now)
+	s.countRequest(&job, pl.fleetView(), now)
 }
 
 // RemotePrefilled records the first event of a peer's job.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -25,6 +26,9 @@
 	// caller is expected to wait; a request at or above it is refused
 	// immediately.
 	maxWaitRatio = 1.0
+	// rateLimitJitter spreads the requests that wait for the rate limits of the same
+	// targets.
+	rateLimitJitter = 50 * time.Millisecond
 	// reservedWaitRatio is the ratio of the wait for the first event to the predicted
 	// one from which a target with reserved memory counts as unresponsive, and
 	// minReservedWait is the shortest such wait.
@@ -37,9 +41,13 @@
 	if !j.keyStillValid() {
 		return resultRejected, ReasonConfigUnconfirmed
 	}
-	placed, reason := j.place()
-	if placed == nil {
-		return resultRejected, reason
+	placed, err := j.place()
+	var limited *placement.RateLimitedError
+	switch {
+	case errors.As(err, &limited):
+		return j.waitForRateLimit(ctx, limited)
+	case err != nil:
+		return resultRejected, j.placementReason(err)
 	}
 	if j.waitTooLong(placed) {
 		placed.End(placement.Abandoned)
@@ -78,20 +86,44 @@
 	return found && org.Name == j.organisation && j.relay.viewFresh()
 }
 
-func (j *job) place() (*placement.Placement, Reason) {
+func (j *job) place() (*placement.Placement, error) {
 	targets := j.relay.cfg.Views.View().Targets(j.serviceName)
 	req := j.placementRequest()
 	if len(targets) > 0 && !placement.Feasible(&req, len(targets)) {
-		return nil, ReasonInfeasible
+		return nil, errInfeasible
 	}
-	placed, err := j.relay.cfg.Placer.Place(req, targets)
+	return j.relay.cfg.Placer.Place(req, targets)
+}
+
+// errInfeasible means that a prompt does not fit into the memory of all engines that it
+// could be split over.
+var errInfeasible = errors.New("prompt exceeds the memory of the engines")
+
+// placementReason is why a request that cannot be placed is refused.
+func (j *job) placementReason(err error) Reason {
 	switch {
-	case err != nil && j.reserveFailed:
-		return nil, ReasonNoMemory
-	case err != nil:
-		return nil, ReasonNoTarget
+	case errors.Is(err, errInfeasible):
+		return ReasonInfeasible
+	case j.reserveFailed:
+		return ReasonNoMemory
 	}
-	return placed, ""
+	return ReasonNoTarget
+}
+
+// waitForRateLimit waits until a target may accept another request. A request whose
+// objective passes before is refused, unless the caller has part of the answer already.
+func (j *job) waitForRateLimit(ctx context.Context, limited *placement.RateLimitedError) (attemptResult, Reason) {
+	wait := limited.RetryAfter + rand.N(rateLimitJitter)
+	if !j.responseStarted && time.Now().Add(wait).After(j.req.Arrived.Add(j.route.Objective)) {
+		j.retryAfter = wait
+		return resultRejected, ReasonRateLimited
+	}
+	select {
+	case <-ctx.Done():
+		return resultRejected, ReasonRateLimited
+	case <-time.After(wait):
+	}
+	return resultPostponed, ReasonRateLimited
 }
 
 // waitTooLong reports whether the caller is expected to disconnect before the
@@ -204,6 +236,7 @@
 	}
 	j.relay.cfg.Log.Info("rate limit of a target changed", zap.String("target", target.ID), zap.String("service", target.Service),
 		zap.Bool("limited", limit.Named), zap.Float64("per_second", limit.PerSecond))
+	j.relay.cfg.Peers.RateLimitChanged(placement.TargetRateLimit{Service: target.Service, Target: target.TargetKey, Limit: limit})
 }
 
 // handleResponse decides whether the request was executed and relays the
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -258,12 +258,13 @@
 
 type noopObserver struct{}
 
-func (noopObserver) Refused(relay.Reason)              {}
-func (noopObserver) AttemptEnded(string, string)       {}
-func (noopObserver) FirstEvent(string, time.Duration)  {}
-func (noopObserver) Finished(string, time.Duration)    {}
-func (noopObserver) AddActive(int)                     {}
-func (noopObserver) Crashed(uint64, catalog.TargetKey) {}
+func (noopObserver) Refused(relay.Reason)                       {}
+func (noopObserver) AttemptEnded(string, string)                {}
+func (noopObserver) FirstEvent(string, time.Duration)           {}
+func (noopObserver) Finished(string, time.Duration)             {}
+func (noopObserver) AddActive(int)                              {}
+func (noopObserver) Crashed(uint64, catalog.TargetKey)          {}
+func (noopObserver) RateLimitChanged(placement.TargetRateLimit) {}
 
 // harness is a relay with simulated targets.
 type harness struct {
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -53,6 +53,8 @@
 	// longestEventGap is the longest time between two events of one attempt.
 	longestEventGap time.Duration
 	lastFailure     *bufferedResponse // latest response of a target that failed
+	// retryAfter is when a refused caller should come back, if that is known.
+	retryAfter time.Duration
 }
 
 // bufferedResponse is a response whose body has been read in full.
@@ -94,6 +96,7 @@
 	resultNotExecuted                      // the target did not execute the request
 	resultUnknown                          // the target may have executed the request but gave no usable response
 	resultFailed                           // the target executed the request and failed
+	resultPostponed                        // nothing was sent; the request may be placed again
 	resultRejected                         // nothing was sent, and no further attempt is allowed
 )
 
@@ -123,6 +126,8 @@
 	switch {
 	case ctx.Err() != nil, j.remaining() < minAttemptTime:
 		return false
+	case result == resultPostponed:
+		return true
 	case result != resultNotExecuted && !j.route.Repeatable():
 		return false
 	case j.possibleExecutions >= max(j.route.MaxAttempts, 1):
@@ -152,11 +157,11 @@
 		j.log("relaying failed response", zap.Int("status", j.lastFailure.response.Status))
 		j.writer.WriteResponse(j.lastFailure.response.Status, j.lastFailure.response.Header, j.lastFailure.body)
 	case j.possibleExecutions > 0 && j.remaining() < minAttemptTime:
-		j.relay.refuse(j.req, j.writer, ReasonTimeout)
+		j.relay.refuse(j.req, j.writer, NewRefusal(ReasonTimeout))
 	case j.possibleExecutions > 0:
-		j.relay.refuse(j.req, j.writer, ReasonNoUsableResponse)
+		j.relay.refuse(j.req, j.writer, NewRefusal(ReasonNoUsableResponse))
 	default:
-		j.relay.refuse(j.req, j.writer, reason)
+		j.relay.refuse(j.req, j.writer, NewRefusal(reason).after(j.retryAfter))
 	}
 }
 
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -15,19 +15,20 @@
 
 // The reasons, and whether the request may have been executed.
 const (
-	ReasonBadRequest        Reason = "bad_request" // not executed: malformed
-	ReasonBodyTooLarge      Reason = "too_large"   // not executed: body above the limit
-	ReasonUnknownKey        Reason = "unknown_key" // not executed: no organisation has the key
-	ReasonNoRoute           Reason = "no_route"    // not executed: no route matches
-	ReasonConfigUnconfirmed Reason = "unconfirmed" // not executed: the configuration is missing or its confirmation is too old
-	ReasonNoTarget          Reason = "no_target"   // not executed: no usable target
-	ReasonTargetsBusy       Reason = "busy"        // not executed: every target tried was at capacity
-	ReasonInfeasible        Reason = "hopeless"    // not executed: it exceeds the engines' capacity or the predicted wait is too long
-	ReasonNoMemory          Reason = "no_memory"   // not executed: the prompt's memory could not be reserved
-	ReasonQuarantined       Reason = "quarantined" // not executed: it has crashed targets
-	ReasonTimeout           Reason = "timeout"     // may have been executed: the deadline passed
-	ReasonNoUsableResponse  Reason = "lost"        // may have been executed: no target gave a usable response
-	ReasonExpired           Reason = "out_of_time" // not executed: its deadline passed before the first attempt
+	ReasonBadRequest        Reason = "bad_request"  // not executed: malformed
+	ReasonBodyTooLarge      Reason = "too_large"    // not executed: body above the limit
+	ReasonUnknownKey        Reason = "unknown_key"  // not executed: no organisation has the key
+	ReasonNoRoute           Reason = "no_route"     // not executed: no route matches
+	ReasonConfigUnconfirmed Reason = "unconfirmed"  // not executed: the configuration is missing or its confirmation is too old
+	ReasonNoTarget          Reason = "no_target"    // not executed: no usable target
+	ReasonTargetsBusy       Reason = "busy"         // not executed: every target tried was at capacity
+	ReasonRateLimited       Reason = "rate_limited" // not executed: every target is at the rate limit that it names
+	ReasonInfeasible        Reason = "hopeless"     // not executed: it exceeds the engines' capacity or the predicted wait is too long
+	ReasonNoMemory          Reason = "no_memory"    // not executed: the prompt's memory could not be reserved
+	ReasonQuarantined       Reason = "quarantined"  // not executed: it has crashed targets
+	ReasonTimeout           Reason = "timeout"      // may have been executed: the deadline passed
+	ReasonNoUsableResponse  Reason = "lost"         // may have been executed: no target gave a usable response
+	ReasonExpired           Reason = "out_of_time"  // not executed: its deadline passed before the first attempt
 )
 
 // Refusal is a response that the host itself gives to a request.
@@ -50,6 +51,7 @@
 	ReasonConfigUnconfirmed: http.StatusServiceUnavailable,
 	ReasonNoTarget:          http.StatusServiceUnavailable,
 	ReasonTargetsBusy:       http.StatusServiceUnavailable,
+	ReasonRateLimited:       http.StatusServiceUnavailable,
 	ReasonInfeasible:        http.StatusServiceUnavailable,
 	ReasonNoMemory:          http.StatusServiceUnavailable,
 	ReasonQuarantined:       http.StatusServiceUnavailable,
@@ -62,10 +64,17 @@
 	ReasonNoTarget:          400 * time.Millisecond,
 	ReasonTargetsBusy:       300 * time.Millisecond,
 	ReasonNoMemory:          700 * time.Millisecond,
+	ReasonRateLimited:       300 * time.Millisecond,
 	ReasonInfeasible:        500 * time.Millisecond,
 	ReasonQuarantined:       5 * time.Second,
 }
 
+// after returns the refusal with a retry delay of at least d.
+func (r Refusal) after(d time.Duration) Refusal {
+	r.RetryAfter = max(r.RetryAfter, d)
+	return r
+}
+
 // NewRefusal returns the refusal for a reason. Its retry delay has jitter, so that
 // callers do not retry simultaneously.
 func NewRefusal(reason Reason) Refusal {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,6 +61,8 @@
 	// Crashed reports the fingerprint of a request whose response from a target is
 	// missing, invalid or incomplete, as when the request crashes the target.
 	Crashed(request uint64, target catalog.TargetKey)
+	// RateLimitChanged reports a target's new rate limit, or the end of its limit.
+	RateLimitChanged(limit placement.TargetRateLimit)
 }
 
 // Observer records metrics of requests and attempts.
@@ -110,7 +112,7 @@
 	}()
 	j, reason := r.admit(req)
 	if reason != "" {
-		r.refuse(req, writer, reason)
+		r.refuse(req, writer, NewRefusal(reason))
 		return
 	}
 	j.writer = writer
@@ -172,11 +174,10 @@
 	return ReasonConfigUnconfirmed
 }
 
-func (r *Relay) refuse(req *Request, writer ResponseWriter, reason Reason) {
-	refusal := NewRefusal(reason)
-	r.cfg.Observer.Refused(reason)
+func (r *Relay) refuse(req *Request, writer ResponseWriter, refusal Refusal) {
+	r.cfg.Observer.Refused(refusal.Reason)
 	r.cfg.Log.Info("request refused",
-		zap.String("request", req.ID), zap.String("reason", string(reason)), zap.Int("status", refusal.Status),
+		zap.String("request", req.ID), zap.String("reason", string(refusal.Reason)), zap.Int("status", refusal.Status),
 		zap.Duration("retry_after", refusal.RetryAfter), zap.Duration("view_age", r.cfg.Views.Age()),
 		zap.Duration("took", time.Since(req.Arrived)))
 	writer.WriteRefusal(refusal)
