--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -180,6 +180,7 @@
 
 func (j *job) send(ctx context.Context, placed *placement.Placement, reservations *reservationSet) (*Response, error) {
 	j.attempts++
+	j.attemptEvents = 0
 	j.triedTargets = append(j.triedTargets, placed.Primary.ID)
 	call := Call{
 		Request: j.req, Target: placed.Primary, Organisation: j.organisation, Remaining: j.remaining(),
@@ -215,7 +216,7 @@
 		j.possibleArrivals++
 		j.possibleExecutions++
 	}
-	j.recordOutcome(outcome, placed, zap.Error(err))
+	j.recordOutcome(outcome, placed, j.brokenAttemptFields(err)...)
 	if ctx.Err() != nil {
 		placed.End(placement.Abandoned)
 		return resultUnknown, ReasonTimeout
@@ -341,7 +342,7 @@
 
 // handleBrokenResponse handles a response that ended prematurely.
 func (j *job) handleBrokenResponse(ctx context.Context, placed *placement.Placement, err error) (attemptResult, Reason) {
-	j.recordOutcome("broken", placed, zap.Error(err))
+	j.recordOutcome("broken", placed, j.brokenAttemptFields(err)...)
 	if ctx.Err() != nil {
 		placed.End(placement.Abandoned)
 		return resultUnknown, ReasonTimeout
@@ -351,6 +352,12 @@
 	return resultUnknown, ReasonNoUsableResponse
 }
 
+// brokenAttemptFields returns what helps to tell a request that crashes its target from
+// one that ran beside it: how far the answer got, and what the prompt shares with others.
+func (j *job) brokenAttemptFields(err error) []zap.Field {
+	return []zap.Field{zap.Error(err), zap.Int("events", j.attemptEvents), zap.Strings("shared_parts", j.req.SharedParts)}
+}
+
 func (j *job) recordOutcome(outcome string, placed *placement.Placement, fields ...zap.Field) {
 	j.relay.cfg.Observer.AttemptEnded(j.serviceName, outcome)
 	fields = append(fields, zap.String("outcome", outcome), zap.String("target", placed.Primary.ID))
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -50,6 +50,7 @@
 	reserveCalls    int
 	responseStarted bool          // the status and header have been sent to the caller
 	seq             eventSequence // of the events sent to the caller
+	attemptEvents   int           // events of the current attempt
 	// longestEventGap is the longest time between two events of one attempt.
 	longestEventGap time.Duration
 	lastFailure     *bufferedResponse // latest response of a target that failed
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -30,8 +30,9 @@
 	Key     string // credential, empty if none was sent
 
 	PromptTokens         int
-	MaxOutputTokens      int // 0 if not given
-	ExpectedOutputTokens int // 0 if not given
+	SharedParts          []string // ids of the parts of the prompt that other prompts may share, in order
+	MaxOutputTokens      int      // 0 if not given
+	ExpectedOutputTokens int      // 0 if not given
 	LastEventID          string
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,6 +33,7 @@
 		if err != nil {
 			return j.handleBrokenResponse(ctx, placed, err)
 		}
+		j.attemptEvents++
 		now := time.Now()
 		if first {
 			first = false
