--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -48,6 +48,7 @@
 	id     string
 	relay  *relay.Relay
 	placer *placement.Placer
+	views  *staticView
 
 	// The mutex of the fleet protects the following.
 	gone        bool
@@ -69,11 +70,12 @@
 func (f *fleet) join() *fleetHost {
 	f.mu.Lock()
 	h := &fleetHost{fleet: f, id: fmt.Sprint("host-", len(f.hosts)), disturbedAt: time.Now()}
+	h.views = newStaticView(f.source)
 	h.placer = placement.NewPlacer(time.Now, uint64(len(f.hosts)))
 	h.placer.SetPropagationDelay(updateDelay)
 	h.placer.SetObserver(h)
 	h.relay = relay.New(relay.Config{
-		Views: newStaticView(f.source), Placer: h.placer, Transport: &fleetTransport{host: h}, RetryBudget: unlimitedRetries{},
+		Views: h.views, Placer: h.placer, Transport: &fleetTransport{host: h}, RetryBudget: unlimitedRetries{},
 		Observer: noopObserver{}, Peers: h, Log: zap.NewNop(), HostID: h.id,
 		Settings: relay.Settings{ReservationLease: reservationLease},
 	})
@@ -268,9 +270,10 @@
 
 // arrival is a request that reached a target.
 type arrival struct {
-	target string
-	at     time.Time
-	calm   bool // the host was calm
+	target  string
+	request *relay.Request
+	at      time.Time
+	calm    bool // the host was calm
 }
 
 // fleetTargets are the targets of a fleet. They answer after a delay and record
@@ -282,6 +285,15 @@
 	limits   map[string]placement.RateLimit // by target
 	namedAt  map[string]time.Time           // first naming of a limit, by target
 	arrivals []arrival
+	engines  map[string]*fleetEngine // by target; those that a prompt can crash
+	crashes  []time.Time             // ends of engines
+}
+
+// engine returns the engine behind a target, or nil.
+func (t *fleetTargets) engine(target string) *fleetEngine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.engines[target]
 }
 
 func newFleetTargets(delay time.Duration) *fleetTargets {
@@ -310,11 +322,11 @@
 const calmTime = 3 * time.Second
 
 // arrive records a request and returns the limit that its answer names.
-func (t *fleetTargets) arrive(target string, h *fleetHost) placement.RateLimit {
+func (t *fleetTargets) arrive(target string, req *relay.Request, h *fleetHost) placement.RateLimit {
 	calm := h.calm(calmTime)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.arrivals = append(t.arrivals, arrival{target: target, at: time.Now(), calm: calm})
+	t.arrivals = append(t.arrivals, arrival{target: target, request: req, at: time.Now(), calm: calm})
 	return t.limits[target]
 }
 
@@ -336,8 +348,11 @@
 
 func (tr *fleetTransport) Send(_ context.Context, call relay.Call) (*relay.Response, error) {
 	targets, id := tr.host.fleet.targets, call.Target.ID
-	limit := targets.arrive(id, tr.host)
+	limit := targets.arrive(id, call.Request, tr.host)
 	time.Sleep(targets.delay)
+	if e := targets.engine(id); e != nil {
+		return e.answer(call)
+	}
 	resp := &relay.Response{Status: http.StatusOK, Header: http.Header{}, Authentic: true, RateLimit: limit, Body: io.NopCloser(strings.NewReader("done"))}
 	if strings.HasPrefix(call.Request.URI, "/chat/") {
 		resp.Stream = true
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -44,14 +44,18 @@
 	return follow.Response{}, ctx.Err()
 }
 
-// staticView provides a fixed view whose age is set by the test.
+// staticView provides the view and the age that the test sets.
 type staticView struct {
-	view *follow.View
 	mu   sync.Mutex
+	view *follow.View
 	age  time.Duration
 }
 
-func (k *staticView) View() *follow.View { return k.view }
+func (k *staticView) View() *follow.View {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.view
+}
 func (k *staticView) Age() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -63,6 +67,12 @@
 	k.age = age
 }
 
+func (k *staticView) set(view *follow.View) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.view = view
+}
+
 func newStaticView(s *fakeSource) *staticView {
 	f := follow.New(s, zap.NewNop())
 	changed := make(chan *follow.View, 1)
