--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -1,8 +1,9 @@
 package placement
 
 import (
-	"math"
 	"time"
+
+	"github.com/plantainrun/plantainrun/internal/decay"
 )
 
 const (
@@ -15,26 +16,12 @@
 )
 
 // rate estimates an amount per second as an exponentially decaying sum.
-type rate struct {
-	sum       float64
-	updatedAt time.Time
-}
+type rate struct{ sum decay.Sum }
 
-func (r *rate) add(amount float64, now time.Time) {
-	r.decay(now)
-	r.sum += amount
-}
+func (r *rate) add(amount float64, now time.Time) { r.sum.Add(amount, now, rateTimeConstant) }
 
 func (r *rate) perSecond(now time.Time) float64 {
-	r.decay(now)
-	return r.sum / rateTimeConstant.Seconds()
-}
-
-func (r *rate) decay(now time.Time) {
-	if !r.updatedAt.IsZero() {
-		r.sum *= math.Exp(-now.Sub(r.updatedAt).Seconds() / rateTimeConstant.Seconds())
-	}
-	r.updatedAt = now
+	return r.sum.Value(now, rateTimeConstant) / rateTimeConstant.Seconds()
 }
 
 // demand is the rate at which prompts arrive at a service, from all hosts.
