Relay: quarantine parts of prompts that crash engines

Cause: quarantine knew whole requests only (host, URI, key and body). Prompts that crash engines share one part and nothing else, so each was new to it. The class: a suspicion that is held against the wrong thing, here the request in place of what it has in common with others.

Ruled out: hosts that do not tell each other (one host alone saw more than five broken attempts in the first second and refused nothing); another cause of the crashes (engines end one by one, about 100 ms after a request began to run, and none once the part is kept away); retries (they spread it; most requests that crashed an engine were new).

Change: hosts broadcast the shared parts of prompts whose answers break off before the third event; answers that get further clear their parts, also those of other hosts, which report them when a part is suspected. A part is quarantined after three engines, unless answers outweigh the crashes or another part explains them; the fewest prompts at common crashes decide which comes first. Quarantine is checked before each attempt, told to hosts that join, ends after five minutes and is renewed by a single crash. Log lines and a metric say which parts and why.

Failed tries: the fewest prompts for each crash, over all crashes of a part (answers lost for other reasons dilute it, and a sound part is taken first); a total of crashes against answers (crashes that another part explains then blame sound parts).

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -104,6 +104,7 @@
 		Settings:    relaySettings(settings),
 		HostID:      settings.HostID,
 	})
+	h.metrics.observeQuarantine(h.relay)
 	h.peers.Attach(h.relay, h.follower)
 	return h, h.newServers()
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -57,6 +57,11 @@
 	return m
 }
 
+// observeQuarantine adds the number of quarantined parts of prompts.
+func (m *metrics) observeQuarantine(r *relay.Relay) {
+	m.registerGauge("quarantined_prompt_parts", "Parts of prompts that are kept from engines.", func() float64 { return float64(len(r.QuarantinedParts())) })
+}
+
 func (m *metrics) registerGauge(name, help string, read func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
 }
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -6,6 +6,7 @@
 	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/peers/peerspb"
 	"github.com/plantainrun/plantainrun/internal/placement"
+	"github.com/plantainrun/plantainrun/internal/quarantine"
 )
 
 func encodeJob(j placement.Job) *peerspb.Job {
@@ -64,3 +65,27 @@
 		Limit:   placement.RateLimit{Named: pb.GetNamed(), PerSecond: pb.GetPerSecond()},
 	}
 }
+
+func encodeCrash(c quarantine.Crash) *peerspb.Crash {
+	return &peerspb.Crash{Fingerprint: c.Request, Target: c.Target.ID, Born: c.Target.StartUnixMilli, Parts: c.Parts}
+}
+
+func decodeCrash(pb *peerspb.Crash) quarantine.Crash {
+	return quarantine.Crash{
+		Request: pb.GetFingerprint(),
+		Target:  catalog.TargetKey{ID: pb.GetTarget(), StartUnixMilli: pb.GetBorn()},
+		Parts:   pb.GetParts(),
+	}
+}
+
+func encodeQuarantinedPart(e quarantine.Entry) *peerspb.QuarantinedPart {
+	return &peerspb.QuarantinedPart{Part: e.Part, LeftMs: uint32(e.Left.Milliseconds()), PeriodMs: uint32(e.Period.Milliseconds())}
+}
+
+func decodeQuarantinedPart(pb *peerspb.QuarantinedPart) quarantine.Entry {
+	return quarantine.Entry{
+		Part:   pb.GetPart(),
+		Left:   time.Duration(pb.GetLeftMs()) * time.Millisecond,
+		Period: time.Duration(pb.GetPeriodMs()) * time.Millisecond,
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -24,9 +24,9 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/peers/peerspb"
 	"github.com/plantainrun/plantainrun/internal/placement"
+	"github.com/plantainrun/plantainrun/internal/quarantine"
 )
 
 const (
@@ -60,9 +60,13 @@
 	hubDelay    = 2*coalesceDelay + relayBatchDelay + 2*time.Millisecond
 )
 
-// CrashRecorder records requests that broke off at a target, as reported by peers.
-type CrashRecorder interface {
-	RecordPeerCrash(fingerprint uint64, target catalog.TargetKey)
+// Quarantine tracks requests and parts of prompts that crash targets, with what peers
+// report.
+type Quarantine interface {
+	RecordPeerCrash(c quarantine.Crash)
+	RecordPeerAnswers(host string, a quarantine.Answers)
+	QuarantinedParts() []quarantine.Entry
+	QuarantinePart(e quarantine.Entry)
 }
 
 // Config holds the settings and dependencies of a Service.
@@ -80,7 +84,7 @@
 type Service struct {
 	cfg           Config
 	self          *peerspb.Host
-	crashes       CrashRecorder
+	quarantine    Quarantine
 	changeLog     ChangeLog
 	hosts         *hostTable
 	pendingAsks   pendingAsks
@@ -111,10 +115,10 @@
 	}
 }
 
-// Attach sets the recorder of crashes that peers report and the changes of the store
+// Attach sets the quarantine that peers' reports go to and the changes of the store
 // that are served to peers. Call it before Start.
-func (s *Service) Attach(crashes CrashRecorder, changeLog ChangeLog) {
-	s.crashes, s.changeLog = crashes, changeLog
+func (s *Service) Attach(q Quarantine, changeLog ChangeLog) {
+	s.quarantine, s.changeLog = q, changeLog
 }
 
 // Start listens for peers and maintains links to them until ctx ends. It returns
@@ -213,11 +217,16 @@
 	s.broadcast(func(n *peerspb.News) { n.Ended = append(n.Ended, uint64(id)) })
 }
 
-// Crashed tells peers that a request, given by its fingerprint, broke off at a
-// target.
-func (s *Service) Crashed(fingerprint uint64, target catalog.TargetKey) {
-	c := &peerspb.Crash{Fingerprint: fingerprint, Target: target.ID, Born: target.StartUnixMilli}
-	s.broadcast(func(n *peerspb.News) { n.Crashes = append(n.Crashes, c) })
+// Crashed tells peers that a request broke off at a target.
+func (s *Service) Crashed(c quarantine.Crash) {
+	pb := encodeCrash(c)
+	s.broadcast(func(n *peerspb.News) { n.Crashes = append(n.Crashes, pb) })
+}
+
+// AnswersReceived tells peers of answers that clear a part of prompts.
+func (s *Service) AnswersReceived(a quarantine.Answers) {
+	pb := &peerspb.Answers{Part: a.Part, Count: a.Count}
+	s.broadcast(func(n *peerspb.News) { n.Answers = append(n.Answers, pb) })
 }
 
 // RateLimitChanged tells peers the rate limit of a target.
@@ -280,7 +289,13 @@
 		s.cfg.Placer.RemoteEnded(host, placement.JobID(id))
 	}
 	for _, c := range n.GetCrashes() {
-		s.crashes.RecordPeerCrash(c.GetFingerprint(), catalog.TargetKey{ID: c.GetTarget(), StartUnixMilli: c.GetBorn()})
+		s.quarantine.RecordPeerCrash(decodeCrash(c))
+	}
+	for _, a := range n.GetAnswers() {
+		s.quarantine.RecordPeerAnswers(host, quarantine.Answers{Part: a.GetPart(), Count: a.GetCount()})
+	}
+	for _, q := range n.GetQuarantinedParts() {
+		s.quarantine.QuarantinePart(decodeQuarantinedPart(q))
 	}
 	for _, r := range n.GetRateLimits() {
 		s.cfg.Placer.RecordPeerRateLimit(decodeRateLimit(r))
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/plantainrun/plantainrun/internal/loopback"
 	"github.com/plantainrun/plantainrun/internal/peers"
 	"github.com/plantainrun/plantainrun/internal/placement"
+	"github.com/plantainrun/plantainrun/internal/quarantine"
 )
 
 // eventuallyTimeout is generous, so that the results do not depend on the speed of
@@ -30,22 +32,48 @@
 	placer *placement.Placer
 	cancel context.CancelFunc
 
-	mu      sync.Mutex
-	crashed []uint64
-	delta   follow.Delta
-	changed chan struct{}
+	mu          sync.Mutex
+	crashed     []quarantine.Crash
+	answers     []string
+	quarantined []quarantine.Entry
+	delta       follow.Delta
+	changed     chan struct{}
 }
 
-func (h *host) RecordPeerCrash(fingerprint uint64, _ catalog.TargetKey) {
+func (h *host) RecordPeerCrash(c quarantine.Crash) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.crashed = append(h.crashed, fingerprint)
+	h.crashed = append(h.crashed, c)
 }
 
-func (h *host) crashes() []uint64 {
+func (h *host) crashes() []quarantine.Crash {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return append([]uint64(nil), h.crashed...)
+	return slices.Clone(h.crashed)
+}
+
+func (h *host) RecordPeerAnswers(from string, a quarantine.Answers) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answers = append(h.answers, from+" "+a.Part)
+}
+
+func (h *host) peerAnswers() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.answers)
+}
+
+func (h *host) QuarantinePart(e quarantine.Entry) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.quarantined = append(h.quarantined, e)
+}
+
+func (h *host) QuarantinedParts() []quarantine.Entry {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.quarantined)
 }
 
 func (h *host) ChangesSince(after follow.Revision) (follow.Delta, bool) {
@@ -126,9 +154,12 @@
 	for _, h := range south {
 		g.Eventually(h.avoidsBusy, eventuallyTimeout).Should(BeTrue())
 	}
-	sender.Crashed(77, targets[0].TargetKey)
+	crash := quarantine.Crash{Request: 77, Target: targets[0].TargetKey, Parts: []string{"first", "second"}}
+	sender.Crashed(crash)
+	sender.AnswersReceived(quarantine.Answers{Part: "first", Count: 2})
 	for _, h := range south {
-		g.Eventually(h.crashes, eventuallyTimeout).Should(ContainElement(BeEquivalentTo(77)))
+		g.Eventually(h.crashes, eventuallyTimeout).Should(ContainElement(crash))
+		g.Eventually(h.peerAnswers, eventuallyTimeout).Should(ContainElement("north-0 first"))
 	}
 	limit := placement.TargetRateLimit{Service: "orders", Target: targets[0].TargetKey, Limit: placement.RateLimit{PerSecond: 1.5, Named: true}}
 	sender.RateLimitChanged(limit)
@@ -221,7 +252,7 @@
 	}, 2*eventuallyTimeout).Should(MatchError(follow.ErrPeersStale))
 }
 
-func TestHostThatJoinsLearnsOfRateLimits(t *testing.T) {
+func TestHostThatJoinsLearnsOfRateLimitsAndQuarantinedParts(t *testing.T) {
 	g := NewWithT(t)
 	hosts := startFleet(t, "north", "south", "south", "south", "south", "south", "south")
 	limit := placement.TargetRateLimit{Service: "orders", Target: targets[0].TargetKey, Limit: placement.RateLimit{PerSecond: 1.5, Named: true}}
@@ -230,9 +261,14 @@
 	for _, h := range hosts[1:] {
 		g.Eventually(h.placer.RateLimits, eventuallyTimeout).Should(ConsistOf(limit))
 	}
+	quarantined := quarantine.Entry{Part: "bad", Left: time.Minute, Period: 5 * time.Minute}
+	for _, h := range hosts {
+		h.QuarantinePart(quarantined)
+	}
 	for _, domain := range []string{"north", "south"} {
 		joined := &host{addr: freeAddr(g), changed: make(chan struct{})}
 		joined.start(t, "late-"+domain, domain, hosts[0].addr)
 		g.Eventually(joined.placer.RateLimits, eventuallyTimeout).Should(ConsistOf(limit))
+		g.Eventually(joined.QuarantinedParts, eventuallyTimeout).Should(ContainElement(quarantined))
 	}
 }
--- /dev/null
+++ b/internal/quarantine/part.go
@@ -0,0 +1,185 @@
+package quarantine
+
+import (
+	"math"
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/decay"
+)
+
+// part is what is known of one part of prompts.
+type part struct {
+	id      string
+	crashes map[catalog.TargetKey]crash // by engine
+	own     decay.Sum                   // answers of this host
+	peers   map[string]*decay.Sum       // answers that peers have reported
+
+	reportPending bool
+	reported      decay.Sum // last report of own answers
+
+	until        time.Time     // end of the quarantine
+	period       time.Duration // of the last quarantine; 0 if there was none
+	outweighedBy float64       // answers that end the quarantine
+}
+
+// crash is the crash of an engine under prompts with the part.
+type crash struct {
+	requests map[uint64]struct{}
+	at       time.Time
+}
+
+func newPart(id string) *part {
+	return &part{id: id, crashes: make(map[catalog.TargetKey]crash), peers: make(map[string]*decay.Sum)}
+}
+
+// recordCrash adds a broken answer and reports whether its engine is a new one.
+func (p *part) recordCrash(c Crash, now time.Time) bool {
+	known, ok := p.crashes[c.Target]
+	if ok {
+		known.requests[c.Request] = struct{}{}
+		return false
+	}
+	p.expire(now)
+	if len(p.crashes) >= maxCrashesPerPart {
+		delete(p.crashes, p.oldestCrash())
+	}
+	p.crashes[c.Target] = crash{requests: map[uint64]struct{}{c.Request: {}}, at: now}
+	return true
+}
+
+// oldestCrash returns the engine that crashed first.
+func (p *part) oldestCrash() catalog.TargetKey {
+	var oldest catalog.TargetKey
+	for target, c := range p.crashes {
+		if o, ok := p.crashes[oldest]; !ok || c.at.Before(o.at) {
+			oldest = target
+		}
+	}
+	return oldest
+}
+
+// answers returns the weight of the answers that clear the part.
+func (p *part) answers(now time.Time) float64 {
+	sum := p.own.Value(now, evidenceTimeConstant)
+	for _, peer := range p.peers {
+		sum += peer.Value(now, evidenceTimeConstant)
+	}
+	return sum
+}
+
+// needed is the number of crashes for a quarantine: one is enough if the part has been
+// in quarantine before.
+func (p *part) needed() int {
+	if p.period > 0 {
+		return 1
+	}
+	return minCrashes
+}
+
+// suspected reports whether the part is to be quarantined for those of its crashes that
+// no other part explains. Reports of answers have to have had reportTime to arrive.
+func (p *part) suspected(unexplained []crash, now time.Time, reportTime time.Duration) bool {
+	if len(unexplained) < p.needed() || crashesPerAnswer*p.answers(now) >= crashWeight(unexplained, now) {
+		return false
+	}
+	return p.period > 0 || p.requests() >= minRequests && p.crashesBefore(now.Add(-reportTime)) >= minRequests
+}
+
+// crashWeight is the weight of crashes against answers.
+func crashWeight(crashes []crash, now time.Time) float64 {
+	sum := 0.0
+	for _, c := range crashes {
+		sum += math.Exp(-now.Sub(c.at).Seconds() / evidenceTimeConstant.Seconds())
+	}
+	return sum
+}
+
+// crashesBefore returns the number of crashes up to a time.
+func (p *part) crashesBefore(at time.Time) int {
+	n := 0
+	for _, c := range p.crashes {
+		if !c.at.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// requests returns the number of different prompts under which engines crashed.
+func (p *part) requests() int {
+	all := make(map[uint64]struct{})
+	for _, c := range p.crashes {
+		for r := range c.requests {
+			all[r] = struct{}{}
+		}
+	}
+	return len(all)
+}
+
+// moreSpecific reports whether fewer prompts with this part than with another one broke
+// off at the crashes that both explain, or in all if that is equal.
+func (p *part) moreSpecific(other *part) bool {
+	own, others := 0, 0
+	for target, c := range p.crashes {
+		if o, ok := other.crashes[target]; ok {
+			own += len(c.requests)
+			others += len(o.requests)
+		}
+	}
+	if own == others {
+		return p.requests() < other.requests()
+	}
+	return own < others
+}
+
+// minReportedAnswers is the least weight of answers that is worth a report.
+const minReportedAnswers = 0.25
+
+// reportHelps reports whether the part is suspected and this host has answers that the
+// others do not know of.
+func (p *part) reportHelps(now time.Time) bool {
+	own, reported := p.own.Value(now, evidenceTimeConstant), p.reported.Value(now, evidenceTimeConstant)
+	if own-reported < minReportedAnswers || len(p.crashes) < minRequests {
+		return false
+	}
+	knownToAll := p.answers(now) - own + reported
+	return crashesPerAnswer*knownToAll < float64(len(p.crashes))
+}
+
+func (p *part) quarantined(now time.Time) bool { return now.Before(p.until) }
+
+// quarantine begins a quarantine.
+func (p *part) quarantine(now time.Time) {
+	p.period = min(max(2*p.period, firstPeriod), maxPeriod)
+	p.until = now.Add(p.period)
+	p.outweighedBy = max(1, float64(len(p.crashes))/crashesPerAnswer)
+}
+
+// expire ends a quarantine whose time is over, and drops crashes that no longer count.
+func (p *part) expire(now time.Time) {
+	if !p.until.IsZero() && !p.quarantined(now) {
+		p.until = time.Time{}
+		clear(p.crashes)
+	}
+	for target, c := range p.crashes {
+		if now.Sub(c.at) > crashTTL {
+			delete(p.crashes, target)
+		}
+	}
+}
+
+// clear ends a quarantine and forgets the crashes.
+func (p *part) clear() {
+	p.suspend()
+	clear(p.crashes)
+}
+
+// suspend ends a quarantine. The crashes still count.
+func (p *part) suspend() { p.until, p.period = time.Time{}, 0 }
+
+// negligible reports whether nothing recent is known of the part.
+func (p *part) negligible(now time.Time) bool {
+	const negligibleAnswers = 0.1
+	return !p.quarantined(now) && p.period == 0 && len(p.crashes) == 0 && p.answers(now) < negligibleAnswers
+}
--- /dev/null
+++ b/internal/quarantine/seed_test.go
@@ -0,0 +1,5 @@
+package quarantine_test
+
+import "flag"
+
+func init() { _ = flag.Set("rapid.seed", "1") }
--- /dev/null
+++ b/internal/quarantine/tracker_test.go
@@ -0,0 +1,142 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/quarantine"
+)
+
+// settleTime is longer than peers' reports take.
+const settleTime = time.Second
+
+func newTracker() (*quarantine.Tracker, *[]quarantine.Answers) {
+	reports := &[]quarantine.Answers{}
+	return quarantine.New(quarantine.Config{
+		Now: time.Now, Report: func(a quarantine.Answers) { *reports = append(*reports, a) },
+		HostCount: func() int { return 7 }, Log: zap.NewNop(),
+	}), reports
+}
+
+func crashAt(engine int, request uint64, parts ...string) quarantine.Crash {
+	return quarantine.Crash{Request: request, Target: catalog.TargetKey{ID: fmt.Sprint("engine-", engine)}, Parts: parts}
+}
+
+func quarantined(tr *quarantine.Tracker, part string) bool {
+	_, found := tr.Quarantined([]string{part})
+	return found
+}
+
+func TestPartOfManyCrashesIsQuarantinedAndPartsBesideItAreNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		tr, _ := newTracker()
+		for engine := range 3 {
+			tr.RecordCrash(crashAt(engine, uint64(engine), "shared", "bad"))
+			tr.RecordCrash(crashAt(engine, uint64(10+engine), "shared", fmt.Sprint("other-", engine)))
+		}
+		time.Sleep(settleTime)
+		g.Expect(quarantined(tr, "bad")).To(BeTrue())
+		g.Expect(quarantined(tr, "shared")).To(BeFalse())
+		g.Expect(quarantined(tr, "other-0")).To(BeFalse())
+	})
+}
+
+func TestRepeatsOfOnePromptDoNotQuarantineItsParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr, _ := newTracker()
+		for engine := range 5 {
+			tr.RecordCrash(crashAt(engine, 1, "rare"))
+		}
+		time.Sleep(settleTime)
+		NewWithT(t).Expect(quarantined(tr, "rare")).To(BeFalse())
+	})
+}
+
+func TestAnswersClearAPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		tr, reports := newTracker()
+		tr.RecordAnswer([]string{"popular"})
+		tr.RecordAnswer([]string{"popular"})
+		for engine := range 4 {
+			tr.RecordCrash(crashAt(engine, uint64(engine), "popular", "elsewhere"))
+		}
+		tr.RecordPeerAnswers("peer", quarantine.Answers{Part: "elsewhere", Count: 2})
+		time.Sleep(settleTime)
+		g.Expect(quarantined(tr, "popular")).To(BeFalse())
+		g.Expect(quarantined(tr, "elsewhere")).To(BeFalse())
+		g.Expect(*reports).To(HaveLen(1), "the answers are reported once")
+		g.Expect((*reports)[0].Part).To(Equal("popular"))
+	})
+}
+
+func TestLateAnswersReleaseAPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		tr, _ := newTracker()
+		for engine := range 3 {
+			tr.RecordCrash(crashAt(engine, uint64(engine), "slow"))
+		}
+		time.Sleep(settleTime)
+		g.Expect(quarantined(tr, "slow")).To(BeTrue())
+		tr.RecordAnswer([]string{"slow"})
+		g.Expect(quarantined(tr, "slow")).To(BeFalse())
+	})
+}
+
+func TestPartThatExplainsMoreCrashesReplacesAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		tr, _ := newTracker()
+		for engine := range 3 {
+			tr.RecordCrash(crashAt(engine, uint64(engine), "companion", "bad"))
+			tr.RecordCrash(crashAt(engine, uint64(10+engine), "bad"))
+		}
+		time.Sleep(settleTime)
+		g.Expect(quarantined(tr, "companion")).To(BeTrue())
+		for engine := 3; engine < 7; engine++ {
+			tr.RecordCrash(crashAt(engine, uint64(engine), "bad"))
+		}
+		time.Sleep(settleTime)
+		g.Expect(quarantined(tr, "bad")).To(BeTrue())
+		g.Expect(quarantined(tr, "companion")).To(BeFalse())
+	})
+}
+
+// The first prompt after a quarantine tells whether the part still crashes engines.
+func TestQuarantineEndsAndOneCrashRenewsItForLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		tr, _ := newTracker()
+		for engine := range 3 {
+			tr.RecordCrash(crashAt(engine, uint64(engine), "bad"))
+		}
+		time.Sleep(settleTime)
+		first := tr.Entries()
+		g.Expect(first).To(HaveLen(1))
+		time.Sleep(first[0].Period)
+		g.Expect(quarantined(tr, "bad")).To(BeFalse())
+		tr.RecordCrash(crashAt(7, 7, "bad"))
+		time.Sleep(settleTime)
+		g.Expect(tr.Entries()).To(HaveLen(1))
+		g.Expect(tr.Entries()[0].Period).To(BeNumerically(">", first[0].Period))
+	})
+}
+
+func TestPeersQuarantineIsTakenOverWithItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		tr, _ := newTracker()
+		tr.Merge(quarantine.Entry{Part: "bad", Left: time.Minute, Period: 5 * time.Minute})
+		g.Expect(quarantined(tr, "bad")).To(BeTrue())
+		time.Sleep(time.Minute)
+		g.Expect(quarantined(tr, "bad")).To(BeFalse())
+	})
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -41,6 +41,9 @@
 	if !j.keyStillValid() {
 		return resultRejected, ReasonConfigUnconfirmed
 	}
+	if j.quarantined() {
+		return resultRejected, ReasonQuarantined
+	}
 	placed, err := j.place()
 	var limited *placement.RateLimitedError
 	switch {
@@ -300,6 +303,7 @@
 		return j.handleFailure(placed, &bufferedResponse{response: resp, body: body})
 	}
 	placed.End(placement.Served)
+	j.relay.parts.RecordAnswer(j.req.SharedParts)
 	j.recordOutcome("done", placed, zap.Int("status", resp.Status))
 	j.writer.WriteResponse(resp.Status, resp.Header, body)
 	return resultFinal, ""
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/quarantine"
 )
 
 const (
@@ -86,16 +88,50 @@
 }
 
 // RecordPeerCrash records a crash that another host has reported.
-func (r *Relay) RecordPeerCrash(requestFingerprint uint64, target catalog.TargetKey) {
-	r.crashes.record(fingerprint(requestFingerprint), target)
+func (r *Relay) RecordPeerCrash(c quarantine.Crash) { r.recordCrash(c) }
+
+func (r *Relay) recordCrash(c quarantine.Crash) {
+	r.crashes.record(fingerprint(c.Request), c.Target)
+	r.parts.RecordCrash(c)
+}
+
+// RecordPeerAnswers records answers that another host reports to clear a part of prompts.
+func (r *Relay) RecordPeerAnswers(host string, a quarantine.Answers) {
+	r.parts.RecordPeerAnswers(host, a)
 }
 
+// QuarantinedParts returns the quarantined parts of prompts.
+func (r *Relay) QuarantinedParts() []quarantine.Entry { return r.parts.Entries() }
+
+// QuarantinePart quarantines a part of prompts that another host has quarantined.
+func (r *Relay) QuarantinePart(e quarantine.Entry) { r.parts.Merge(e) }
+
+// clearingEvents is the number of events from which an answer clears the parts of its
+// prompt: a prompt that crashes engines does so as its answer begins.
+const clearingEvents = 3
+
 // recordCrash records that this request crashed at a target and reports it to the
 // other hosts.
 func (j *job) recordCrash(target catalog.TargetKey) {
-	fp := j.fingerprint()
-	j.relay.crashes.record(fp, target)
-	j.relay.cfg.Peers.Crashed(uint64(fp), target)
+	c := quarantine.Crash{Request: uint64(j.fingerprint()), Target: target}
+	if j.attemptEvents < clearingEvents {
+		c.Parts = j.req.SharedParts
+	}
+	j.relay.recordCrash(c)
+	j.relay.cfg.Peers.Crashed(c)
+}
+
+// quarantined reports whether the request, or a part of its prompt, has crashed too many
+// targets.
+func (j *job) quarantined() bool {
+	if j.relay.crashes.quarantined(j.fingerprint()) {
+		return true
+	}
+	part, found := j.relay.parts.Quarantined(j.req.SharedParts)
+	if found {
+		j.log("prompt has a quarantined part", zap.String("part", part))
+	}
+	return found
 }
 
 // quarantined reports whether a request has recently crashed at too many targets.
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/placement"
+	"github.com/plantainrun/plantainrun/internal/quarantine"
 	"github.com/plantainrun/plantainrun/internal/relay"
 )
 
@@ -173,13 +174,17 @@
 	}
 }
 
-// resync sends all jobs in progress and all known rate limits to each reachable host, as
-// a new connection does.
+// resync sends all jobs in progress, known rate limits and quarantined parts to each
+// reachable host, as a new connection does.
 func (f *fleet) resync() {
 	for _, h := range f.all() {
 		jobs, limits, peers := h.placer.LocalJobs(), h.placer.RateLimits(), f.peersOf(h)
 		h.placer.SetPeers(1+len(peers), len(f.hosts))
+		quarantined := h.relay.QuarantinedParts()
 		for _, peer := range peers {
+			for _, e := range quarantined {
+				peer.relay.QuarantinePart(e)
+			}
 			for _, limit := range limits {
 				peer.placer.RecordPeerRateLimit(limit)
 			}
@@ -212,8 +217,18 @@
 	h.broadcast(func(peer *fleetHost) { peer.placer.RemoteEnded(h.id, id) })
 }
 
-func (h *fleetHost) Crashed(request uint64, target catalog.TargetKey) {
-	h.broadcast(func(peer *fleetHost) { peer.relay.RecordPeerCrash(request, target) })
+func (h *fleetHost) Crashed(c quarantine.Crash) {
+	h.broadcast(func(peer *fleetHost) { peer.relay.RecordPeerCrash(c) })
+}
+
+func (h *fleetHost) AnswersReceived(a quarantine.Answers) {
+	h.broadcast(func(peer *fleetHost) { peer.relay.RecordPeerAnswers(h.id, a) })
+}
+
+func (h *fleetHost) HostCount() int {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	return len(h.fleet.hosts)
 }
 
 func (h *fleetHost) RateLimitChanged(limit placement.TargetRateLimit) {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/follow"
 	"github.com/plantainrun/plantainrun/internal/placement"
+	"github.com/plantainrun/plantainrun/internal/quarantine"
 	"github.com/plantainrun/plantainrun/internal/relay"
 )
 
@@ -273,7 +274,9 @@
 func (noopObserver) FirstEvent(string, time.Duration)           {}
 func (noopObserver) Finished(string, time.Duration)             {}
 func (noopObserver) AddActive(int)                              {}
-func (noopObserver) Crashed(uint64, catalog.TargetKey)          {}
+func (noopObserver) Crashed(quarantine.Crash)                   {}
+func (noopObserver) AnswersReceived(quarantine.Answers)         {}
+func (noopObserver) HostCount() int                             { return 1 }
 func (noopObserver) RateLimitChanged(placement.TargetRateLimit) {}
 
 // harness is a relay with simulated targets.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/follow"
 	"github.com/plantainrun/plantainrun/internal/placement"
+	"github.com/plantainrun/plantainrun/internal/quarantine"
 )
 
 // ViewSource provides the current view of the configuration and the targets, and
@@ -58,9 +59,13 @@
 
 // Peers broadcasts urgent events to the other hosts.
 type Peers interface {
-	// Crashed reports the fingerprint of a request whose response from a target is
-	// missing, invalid or incomplete, as when the request crashes the target.
-	Crashed(request uint64, target catalog.TargetKey)
+	// Crashed reports a request whose response from a target is missing, invalid or
+	// incomplete, as when the request crashes the target.
+	Crashed(crash quarantine.Crash)
+	// AnswersReceived reports answers that clear a part of prompts.
+	AnswersReceived(answers quarantine.Answers)
+	// HostCount returns the number of hosts, this one included.
+	HostCount() int
 	// RateLimitChanged reports a target's new rate limit, or the end of its limit.
 	RateLimitChanged(limit placement.TargetRateLimit)
 }
@@ -80,12 +85,16 @@
 	settings atomic.Pointer[Settings]
 	active   atomic.Int64
 	crashes  *crashTracker
+	parts    *quarantine.Tracker
 	releases releaseTracker
 }
 
 // New returns a Relay that uses the dependencies in cfg.
 func New(cfg Config) *Relay {
 	r := &Relay{cfg: cfg, crashes: newCrashTracker(time.Now)}
+	r.parts = quarantine.New(quarantine.Config{
+		Now: time.Now, Report: cfg.Peers.AnswersReceived, HostCount: cfg.Peers.HostCount, Log: cfg.Log,
+	})
 	r.SetSettings(cfg.Settings)
 	return r
 }
@@ -152,7 +161,7 @@
 	if !time.Now().Before(j.deadline) {
 		return nil, ReasonExpired
 	}
-	if r.crashes.quarantined(j.fingerprint()) {
+	if j.quarantined() {
 		return nil, ReasonQuarantined
 	}
 	return j, ""
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,7 +33,9 @@
 		if err != nil {
 			return j.handleBrokenResponse(ctx, placed, err)
 		}
-		j.attemptEvents++
+		if j.attemptEvents++; j.attemptEvents == clearingEvents {
+			j.relay.parts.RecordAnswer(j.req.SharedParts)
+		}
 		now := time.Now()
 		if first {
 			first = false
@@ -70,6 +72,9 @@
 		j.responseStarted = true
 		j.writer.WriteHeader(resp.Status, resp.Header)
 	}
+	if j.attemptEvents < clearingEvents {
+		j.relay.parts.RecordAnswer(j.req.SharedParts)
+	}
 	placed.End(placement.Served)
 	j.recordOutcome("done", placed, zap.String("last_event", j.seq.lastEventID()), zap.Duration("longest_pause", j.longestEventGap))
 	return resultFinal
