Quarantine: judge parts at a bounded cost

Cause: each report and each request weighed every suspected part against every other one.

Change: a report without parts is not judged; parts with too few crashes or enough answers are passed over first; only quarantined parts explain crashes; old crashes are dropped once a second.

--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -77,6 +77,13 @@
 	return minCrashes
 }
 
+// mayBeSuspected is false if the part is not suspected even if no other part explains
+// any of its crashes. It is cheaper than suspected.
+func (p *part) mayBeSuspected(now time.Time) bool {
+	n := len(p.crashes)
+	return n >= p.needed() && crashesPerAnswer*p.answers(now) < float64(n)
+}
+
 // suspected reports whether the part is to be quarantined for those of its crashes that
 // no other part explains. Reports of answers have to have had reportTime to arrive.
 func (p *part) suspected(unexplained []crash, now time.Time, reportTime time.Duration) bool {
@@ -156,12 +163,18 @@
 	p.outweighedBy = max(1, float64(len(p.crashes))/crashesPerAnswer)
 }
 
+// endQuarantine forgets the crashes of a quarantine whose time is over.
+func (p *part) endQuarantine(now time.Time) {
+	if p.until.IsZero() || p.quarantined(now) {
+		return
+	}
+	p.until = time.Time{}
+	clear(p.crashes)
+}
+
 // expire ends a quarantine whose time is over, and drops crashes that no longer count.
 func (p *part) expire(now time.Time) {
-	if !p.until.IsZero() && !p.quarantined(now) {
-		p.until = time.Time{}
-		clear(p.crashes)
-	}
+	p.endQuarantine(now)
 	for target, c := range p.crashes {
 		if now.Sub(c.at) > crashTTL {
 			delete(p.crashes, target)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -15,6 +15,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,7 +36,8 @@
 	// other.
 	evidenceTimeConstant = 15 * time.Second
 	// crashTTL is how long a crash counts.
-	crashTTL = 10 * time.Minute
+	crashTTL       = 10 * time.Minute
+	expireInterval = time.Second
 	// firstPeriod is how long a part is quarantined at first. If a prompt with it crashes
 	// another engine after that, the time doubles, up to maxPeriod.
 	firstPeriod = 5 * time.Minute
@@ -90,9 +92,10 @@
 type Tracker struct {
 	cfg Config
 
-	mu       sync.Mutex
-	parts    map[string]*part
-	suspects map[string]*part // those with crashes or in quarantine
+	mu        sync.Mutex
+	parts     map[string]*part
+	suspects  map[string]*part // those with crashes or in quarantine
+	expiredAt time.Time        // last expiry of crashes and quarantines
 	// lastQuarantineAt is when a part was last quarantined.
 	lastQuarantineAt time.Time
 }
@@ -104,6 +107,9 @@
 
 // RecordCrash records a broken answer, of this host or of a peer.
 func (t *Tracker) RecordCrash(c Crash) {
+	if len(c.Parts) == 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Now()
@@ -256,25 +262,22 @@
 // judge ends quarantines that are over, quarantines parts, and releases those that
 // answers or other parts have cleared. The caller holds mu.
 func (t *Tracker) judge(now time.Time) {
-	for _, p := range t.suspects {
-		p.expire(now)
-		if len(p.crashes) == 0 && !p.quarantined(now) {
-			delete(t.suspects, p.id)
-		}
+	if now.Sub(t.expiredAt) >= expireInterval {
+		t.expire(now)
 	}
-	for p := t.mostSuspect(now); p != nil; p = t.mostSuspect(now) {
+	quarantined := t.quarantined(now)
+	if p := t.mostSuspect(quarantined, now); p != nil {
 		p.quarantine(now)
 		t.lastQuarantineAt = now
+		quarantined = append(quarantined, p)
 		t.cfg.Log.Warn("prompt part quarantined", zap.String("part", p.id), zap.Int("crashes", len(p.crashes)),
 			zap.Int("requests", p.requests()), zap.Float64("answers", p.answers(now)), zap.Duration("period", p.period))
 	}
-	for _, p := range t.suspects {
+	for _, p := range quarantined {
 		switch {
-		case !p.quarantined(now):
-			continue
 		case p.answers(now) >= p.outweighedBy:
 			p.clear()
-		case t.explained(p, now):
+		case explained(p, quarantined):
 			p.suspend()
 		default:
 			continue
@@ -283,15 +286,38 @@
 	}
 }
 
+// expire ends quarantines that are over and drops old crashes. The caller holds mu.
+func (t *Tracker) expire(now time.Time) {
+	t.expiredAt = now
+	for _, p := range t.suspects {
+		p.expire(now)
+		if len(p.crashes) == 0 && !p.quarantined(now) {
+			delete(t.suspects, p.id)
+		}
+	}
+}
+
+// quarantined returns the parts in quarantine.
+func (t *Tracker) quarantined(now time.Time) []*part {
+	var out []*part
+	for _, p := range t.suspects {
+		if p.quarantined(now) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // mostSuspect returns the part to quarantine next, or nil.
-func (t *Tracker) mostSuspect(now time.Time) *part {
+func (t *Tracker) mostSuspect(quarantined []*part, now time.Time) *part {
 	if now.Sub(t.lastQuarantineAt) < settleTime {
 		return nil
 	}
 	reportTime := t.spread() + reportDelay
 	var best *part
 	for _, p := range t.suspects {
-		if p.quarantined(now) || !p.suspected(t.unexplained(p, now, anyPart), now, reportTime) {
+		p.endQuarantine(now)
+		if p.quarantined(now) || !p.mayBeSuspected(now) || !p.suspected(unexplained(p, quarantined), now, reportTime) {
 			continue
 		}
 		if best == nil || p.moreSpecific(best) {
@@ -301,37 +327,31 @@
 	return best
 }
 
-// unexplained returns the crashes of a part at which no prompt with another quarantined
-// part, out of those for which eligible returns true, broke off.
-func (t *Tracker) unexplained(p *part, now time.Time, eligible func(*part) bool) []crash {
+// unexplained returns the crashes of a part at which no prompt with another one of the
+// given parts broke off.
+func unexplained(p *part, others []*part) []crash {
 	var out []crash
 	for target, c := range p.crashes {
-		if !t.explains(target, p, now, eligible) {
+		explains := func(other *part) bool {
+			_, ok := other.crashes[target]
+			return ok && other != p
+		}
+		if !slices.ContainsFunc(others, explains) {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
-// explains reports whether a prompt with a quarantined part other than p broke off when
-// an engine crashed.
-func (t *Tracker) explains(target catalog.TargetKey, p *part, now time.Time, eligible func(*part) bool) bool {
-	for _, other := range t.suspects {
-		if other == p || !other.quarantined(now) || !eligible(other) {
-			continue
-		}
-		if _, ok := other.crashes[target]; ok {
-			return true
-		}
-	}
-	return false
-}
-
-func anyPart(*part) bool { return true }
-
 // explained reports whether quarantined parts with more crashes explain so many crashes
 // of a quarantined part that the rest would not have been enough for its quarantine.
-func (t *Tracker) explained(p *part, now time.Time) bool {
-	rest := t.unexplained(p, now, func(other *part) bool { return len(other.crashes) > len(p.crashes) })
-	return len(rest) < len(p.crashes) && len(rest) < minCrashes
+func explained(p *part, quarantined []*part) bool {
+	var larger []*part
+	for _, other := range quarantined {
+		if len(other.crashes) > len(p.crashes) {
+			larger = append(larger, other)
+		}
+	}
+	rest := len(unexplained(p, larger))
+	return rest < len(p.crashes) && rest < minCrashes
 }
