Relay: tell hosts that connect which requests are in quarantine

Cause: crashes of a request were broadcast when they happened. A host that joined or came back from a cut after that did not know of them and sent the request until it had crashed three more engines.

Change: the first message of a connection carries the crashes of all requests in quarantine, with their age.

--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -67,7 +67,7 @@
 }
 
 func encodeCrash(c quarantine.Crash) *peerspb.Crash {
-	return &peerspb.Crash{Fingerprint: c.Request, Target: c.Target.ID, Born: c.Target.StartUnixMilli, Parts: c.Parts}
+	return &peerspb.Crash{Fingerprint: c.Request, Target: c.Target.ID, Born: c.Target.StartUnixMilli, Parts: c.Parts, AgeMs: uint32(c.Age.Milliseconds())}
 }
 
 func decodeCrash(pb *peerspb.Crash) quarantine.Crash {
@@ -75,6 +75,7 @@
 		Request: pb.GetFingerprint(),
 		Target:  catalog.TargetKey{ID: pb.GetTarget(), StartUnixMilli: pb.GetBorn()},
 		Parts:   pb.GetParts(),
+		Age:     time.Duration(pb.GetAgeMs()) * time.Millisecond,
 	}
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -65,6 +65,7 @@
 type Quarantine interface {
 	RecordPeerCrash(c quarantine.Crash)
 	RecordPeerAnswers(host string, a quarantine.Answers)
+	QuarantinedCrashes() []quarantine.Crash
 	QuarantinedParts() []quarantine.Entry
 	QuarantinePart(e quarantine.Entry)
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -70,6 +70,8 @@
 	h.quarantined = append(h.quarantined, e)
 }
 
+func (h *host) QuarantinedCrashes() []quarantine.Crash { return h.crashes() }
+
 func (h *host) QuarantinedParts() []quarantine.Entry {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -252,7 +254,7 @@
 	}, 2*eventuallyTimeout).Should(MatchError(follow.ErrPeersStale))
 }
 
-func TestHostThatJoinsLearnsOfRateLimitsAndQuarantinedParts(t *testing.T) {
+func TestHostThatJoinsLearnsOfRateLimitsAndQuarantine(t *testing.T) {
 	g := NewWithT(t)
 	hosts := startFleet(t, "north", "south", "south", "south", "south", "south", "south")
 	limit := placement.TargetRateLimit{Service: "orders", Target: targets[0].TargetKey, Limit: placement.RateLimit{PerSecond: 1.5, Named: true}}
@@ -262,13 +264,16 @@
 		g.Eventually(h.placer.RateLimits, eventuallyTimeout).Should(ConsistOf(limit))
 	}
 	quarantined := quarantine.Entry{Part: "bad", Left: time.Minute, Period: 5 * time.Minute}
+	crash := quarantine.Crash{Request: 77, Target: targets[0].TargetKey, Age: 3 * time.Second}
 	for _, h := range hosts {
 		h.QuarantinePart(quarantined)
+		h.RecordPeerCrash(crash)
 	}
 	for _, domain := range []string{"north", "south"} {
 		joined := &host{addr: freeAddr(g), changed: make(chan struct{})}
 		joined.start(t, "late-"+domain, domain, hosts[0].addr)
 		g.Eventually(joined.placer.RateLimits, eventuallyTimeout).Should(ConsistOf(limit))
 		g.Eventually(joined.QuarantinedParts, eventuallyTimeout).Should(ContainElement(quarantined))
+		g.Eventually(joined.crashes, eventuallyTimeout).Should(ContainElement(crash))
 	}
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -62,6 +62,7 @@
 	Request uint64 // fingerprint of the prompt
 	Target  catalog.TargetKey
 	Parts   []string // that the prompt shares with others
+	Age     time.Duration
 }
 
 // Answers reports how many recent answers clear a part.
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -56,8 +56,8 @@
 	return &crashTracker{now: now, records: make(map[fingerprint]*crashRecord)}
 }
 
-// record adds a target at which the request crashed.
-func (c *crashTracker) record(fp fingerprint, target catalog.TargetKey) {
+// record adds a target at which the request crashed some time ago.
+func (c *crashTracker) record(fp fingerprint, target catalog.TargetKey, age time.Duration) {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -68,7 +68,26 @@
 		c.records[fp] = r
 	}
 	r.targets[target] = struct{}{}
-	r.lastCrash = now
+	if at := now.Add(-age); at.After(r.lastCrash) {
+		r.lastCrash = at
+	}
+}
+
+// quarantinedCrashes returns the crashes of the requests in quarantine.
+func (c *crashTracker) quarantinedCrashes() []quarantine.Crash {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []quarantine.Crash
+	for fp, r := range c.records {
+		if !r.quarantined(now) {
+			continue
+		}
+		for target := range r.targets {
+			out = append(out, quarantine.Crash{Request: uint64(fp), Target: target, Age: now.Sub(r.lastCrash)})
+		}
+	}
+	return out
 }
 
 // evict makes room for a new record when the limit is reached: it deletes expired
@@ -91,7 +110,7 @@
 func (r *Relay) RecordPeerCrash(c quarantine.Crash) { r.recordCrash(c) }
 
 func (r *Relay) recordCrash(c quarantine.Crash) {
-	r.crashes.record(fingerprint(c.Request), c.Target)
+	r.crashes.record(fingerprint(c.Request), c.Target, c.Age)
 	r.parts.RecordCrash(c)
 }
 
@@ -100,6 +119,9 @@
 	r.parts.RecordPeerAnswers(host, a)
 }
 
+// QuarantinedCrashes returns the crashes of the requests in quarantine.
+func (r *Relay) QuarantinedCrashes() []quarantine.Crash { return r.crashes.quarantinedCrashes() }
+
 // QuarantinedParts returns the quarantined parts of prompts.
 func (r *Relay) QuarantinedParts() []quarantine.Entry { return r.parts.Entries() }
 
@@ -139,8 +161,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.records[fp]
-	if r == nil || c.now().Sub(r.lastCrash) > crashRecordTTL {
-		return false
-	}
-	return len(r.targets) >= crashesBeforeQuarantine
+	return r != nil && r.quarantined(c.now())
+}
+
+func (r *crashRecord) quarantined(now time.Time) bool {
+	return len(r.targets) >= crashesBeforeQuarantine && now.Sub(r.lastCrash) <= crashRecordTTL
 }
--- a/internal/relay/crashing_part_test.go
+++ b/internal/relay/crashing_part_test.go
@@ -52,6 +52,39 @@
 	}
 }
 
+// A request is kept from engines once it has crashed three: later than crashGrace after
+// that, it may be sent three times.
+func TestRequestThatCrashesEnginesIsKeptFromThemByHostsThatJoin(t *testing.T) {
+	const crashesThatCount = 3
+	for _, hosts := range []int{7, 300} {
+		t.Run(fmt.Sprint("hosts=", hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				targets := newFleetTargets(0)
+				f := newFleet(hosts, newFakeSource(), targets)
+				f.useEngines(23, "bad body")
+				bad := relay.Request{URI: "/chat/1", PromptTokens: 2000, MaxOutputTokens: 200, Body: []byte("bad body")}
+				f.load(5*time.Second, 20, func(i int) relay.Request {
+					if i%3 == 0 {
+						return bad
+					}
+					return soundPrompt(i)
+				})
+				var joined []*fleetHost
+				for range 6 {
+					joined = append(joined, f.join())
+				}
+				time.Sleep(crashGrace)
+				for _, h := range joined {
+					h.serve(bad)
+				}
+				third := targets.crashes[crashesThatCount-1]
+				g.Expect(targets.countBody("bad body", third.Add(crashGrace))).To(BeNumerically("<=", maxCrashingRequests))
+			})
+		})
+	}
+}
+
 // checkCrashingPart sends crashing prompts among sound ones from some time on, while
 // hosts join, leave, freeze and are cut off from each other.
 func checkCrashingPart(t *testing.T, hosts int, from time.Duration) {
@@ -83,11 +116,20 @@
 
 // countPart returns how many requests with a part calm hosts have sent since a time.
 func (t *fleetTargets) countPart(part string, since time.Time) int {
+	return t.countRequests(since, func(req *relay.Request) bool { return slices.Contains(req.SharedParts, part) })
+}
+
+// countBody returns how many requests with a body calm hosts have sent since a time.
+func (t *fleetTargets) countBody(body string, since time.Time) int {
+	return t.countRequests(since, func(req *relay.Request) bool { return string(req.Body) == body })
+}
+
+func (t *fleetTargets) countRequests(since time.Time, matches func(*relay.Request) bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for _, a := range t.arrivals {
-		if a.calm && a.at.After(since) && slices.Contains(a.request.SharedParts, part) {
+		if a.calm && a.at.After(since) && matches(a.request) {
 			n++
 		}
 	}
--- a/internal/relay/fleet_engine_test.go
+++ b/internal/relay/fleet_engine_test.go
@@ -24,10 +24,10 @@
 )
 
 // fleetEngine is an engine that ends when it begins to answer a prompt with a certain
-// part. All answers in progress break off, and another process takes its place later.
+// part or body. All answers in progress break off, and another process takes its place later.
 type fleetEngine struct {
 	targets     *fleetTargets
-	crashesOn   string // shared part of the prompts that end it
+	crashesOn   string // shared part, or body, of the prompts that end it
 	afterChange func()
 
 	mu       sync.Mutex
@@ -51,7 +51,7 @@
 		return nil, &relay.SendError{MaybeSent: true, Cause: errConnectionReset}
 	case <-time.After(enginePrefill):
 	}
-	if slices.Contains(call.Request.SharedParts, e.crashesOn) {
+	if slices.Contains(call.Request.SharedParts, e.crashesOn) || string(call.Request.Body) == e.crashesOn {
 		time.AfterFunc(crashDelay, func() { e.crash(ended) })
 	}
 	last := 0
@@ -114,7 +114,7 @@
 	return n, nil
 }
 
-// useEngines replaces the fleet's targets by engines that end on prompts with a part.
+// useEngines replaces the fleet's targets by engines that end on prompts with a part or body.
 // The hosts learn of an engine's new process when it starts.
 func (f *fleet) useEngines(count int, crashesOn string) {
 	f.targets.engines = make(map[string]*fleetEngine)
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -174,17 +174,20 @@
 	}
 }
 
-// resync sends all jobs in progress, known rate limits and quarantined parts to each
+// resync sends all jobs in progress, known rate limits and what is in quarantine to each
 // reachable host, as a new connection does.
 func (f *fleet) resync() {
 	for _, h := range f.all() {
 		jobs, limits, peers := h.placer.LocalJobs(), h.placer.RateLimits(), f.peersOf(h)
 		h.placer.SetPeers(1+len(peers), len(f.hosts))
-		quarantined := h.relay.QuarantinedParts()
+		quarantined, crashes := h.relay.QuarantinedParts(), h.relay.QuarantinedCrashes()
 		for _, peer := range peers {
 			for _, e := range quarantined {
 				peer.relay.QuarantinePart(e)
 			}
+			for _, c := range crashes {
+				peer.relay.RecordPeerCrash(c)
+			}
 			for _, limit := range limits {
 				peer.placer.RecordPeerRateLimit(limit)
 			}
