Quarantine: report the answers that release a part

Found by reading: a host that released a part by its own answers forgot the crashes with it, and then did not report the answers, since reports are made for suspected parts only. Its peers kept the part in quarantine for five minutes and told it so again with the next connection. TestReleaseOfAPartIsReportedToPeers failed before (no report) and passes; later answers are not reported.

--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -15,6 +15,7 @@
 	own     decay.Sum                   // answers of this host
 	peers   map[string]*decay.Sum       // answers that peers have reported
 
+	cleared       bool // answers ended the last quarantine, and peers have not been told
 	reportPending bool
 	reported      decay.Sum // last report of own answers
 
@@ -147,7 +148,12 @@
 // others do not know of.
 func (p *part) reportHelps(now time.Time) bool {
 	own, reported := p.own.Value(now, evidenceTimeConstant), p.reported.Value(now, evidenceTimeConstant)
-	if own-reported < minReportedAnswers || len(p.crashes) < minRequests {
+	switch {
+	case own-reported < minReportedAnswers:
+		return false
+	case p.cleared:
+		return true // peers may have the part in quarantine
+	case len(p.crashes) < minRequests:
 		return false
 	}
 	knownToAll := p.answers(now) - own + reported
@@ -158,6 +164,7 @@
 
 // quarantine begins a quarantine.
 func (p *part) quarantine(now time.Time) {
+	p.cleared = false
 	p.period = min(max(2*p.period, firstPeriod), maxPeriod)
 	p.until = now.Add(p.period)
 	p.outweighedBy = max(1, float64(len(p.crashes))/crashesPerAnswer)
@@ -185,6 +192,7 @@
 // clear ends a quarantine and forgets the crashes.
 func (p *part) clear() {
 	p.suspend()
+	p.cleared = true
 	clear(p.crashes)
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -250,6 +250,7 @@
 	now := t.cfg.Now()
 	p.reportPending = false
 	helps := p.reportHelps(now)
+	p.cleared = false
 	answers := Answers{Part: p.id, Count: p.own.Value(now, evidenceTimeConstant)}
 	if helps {
 		p.reported.Set(answers.Count, now)
@@ -278,6 +279,7 @@
 		switch {
 		case p.answers(now) >= p.outweighedBy:
 			p.clear()
+			t.scheduleReport(p, now)
 		case explained(p, quarantined):
 			p.suspend()
 		default:
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -91,6 +91,28 @@
 	})
 }
 
+// A host that releases a part without telling the others would be told again that the
+// part is in quarantine.
+func TestReleaseOfAPartIsReportedToPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		tr, reports := newTracker()
+		for engine := range 3 {
+			tr.RecordCrash(crashAt(engine, uint64(engine), "slow"))
+		}
+		time.Sleep(settleTime)
+		g.Expect(quarantined(tr, "slow")).To(BeTrue())
+		tr.RecordAnswer([]string{"slow"})
+		g.Expect(quarantined(tr, "slow")).To(BeFalse())
+		time.Sleep(settleTime)
+		g.Expect(*reports).To(HaveLen(1))
+		g.Expect((*reports)[0].Count).To(BeNumerically(">", 0.9))
+		tr.RecordAnswer([]string{"slow"})
+		time.Sleep(settleTime)
+		g.Expect(*reports).To(HaveLen(1), "later answers are not reported")
+	})
+}
+
 func TestPartThatExplainsMoreCrashesReplacesAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
