Quarantine: of equal suspects the least cleared and the last part comes first

Found by an end-to-end test with three hosts: if only prompts with the part break off, all their shared parts have the same crashes and the same prompts. Which one was quarantined was left to chance, and in one of two runs the part that sound prompts share was taken; sound prompts were refused.

Change: fewer answers decide first, then fewer prompts at common crashes, then fewer prompts in all, then the later position in the prompt.

--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -10,10 +11,13 @@
 
 // part is what is known of one part of prompts.
 type part struct {
-	id      string
-	crashes map[catalog.TargetKey]crash // by engine
-	own     decay.Sum                   // answers of this host
-	peers   map[string]*decay.Sum       // answers that peers have reported
+	id string
+	// position is the largest index of the part among the shared ones of a prompt that
+	// broke off.
+	position int
+	crashes  map[catalog.TargetKey]crash // by engine
+	own      decay.Sum                   // answers of this host
+	peers    map[string]*decay.Sum       // answers that peers have reported
 
 	cleared       bool // answers ended the last quarantine, and peers have not been told
 	reportPending bool
@@ -125,20 +129,28 @@
 	return len(all)
 }
 
-// moreSpecific reports whether fewer prompts with this part than with another one broke
-// off at the crashes that both explain, or in all if that is equal.
-func (p *part) moreSpecific(other *part) bool {
-	own, others := 0, 0
+// moreSuspect reports whether this part is to be quarantined before another one that is
+// suspected as well: if fewer answers clear it; else if fewer prompts with it broke off
+// at the crashes that both explain, since a part that many prompts share breaks off with
+// all of them; else if it is later in its prompts, where fewer share it.
+func (p *part) moreSuspect(other *part, now time.Time) bool {
+	if diff := p.answers(now) - other.answers(now); math.Abs(diff) >= minReportedAnswers {
+		return diff < 0
+	}
+	own, others := p.requestsAtCommonCrashes(other)
+	return cmp.Or(cmp.Compare(own, others), cmp.Compare(p.requests(), other.requests()), cmp.Compare(other.position, p.position)) < 0
+}
+
+// requestsAtCommonCrashes returns how many prompts with each of two parts broke off at
+// the crashes that both explain.
+func (p *part) requestsAtCommonCrashes(other *part) (own, others int) {
 	for target, c := range p.crashes {
 		if o, ok := other.crashes[target]; ok {
 			own += len(c.requests)
 			others += len(o.requests)
 		}
 	}
-	if own == others {
-		return p.requests() < other.requests()
-	}
-	return own < others
+	return own, others
 }
 
 // minReportedAnswers is the least weight of answers that is worth a report.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -6,8 +6,7 @@
 // past its first events clears all parts of its prompt of the suspicion. A part is
 // quarantined once several engines have crashed under different prompts with it and
 // hardly any answer has cleared it. If a part explains the crashes, other parts are not
-// blamed for them: of several that do, the one with the fewest prompts to each crash
-// comes first, since parts that many prompts share break off with all of them.
+// blamed for them; the least cleared and least shared part comes first.
 //
 // Hosts tell each other of broken answers. A host that has answers which clear a
 // suspected part tells the others, unless enough have been reported already.
@@ -114,8 +113,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Now()
-	for _, id := range c.Parts {
+	for i, id := range c.Parts {
 		p := t.part(id, now)
+		p.position = max(p.position, i)
 		t.suspects[id] = p
 		if p.recordCrash(c, now) {
 			t.scheduleReport(p, now)
@@ -323,7 +323,7 @@
 		if p.quarantined(now) || !p.mayBeSuspected(now) || !p.suspected(unexplained(p, quarantined), now, reportTime) {
 			continue
 		}
-		if best == nil || p.moreSpecific(best) {
+		if best == nil || p.moreSuspect(best, now) {
 			best = p
 		}
 	}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -48,6 +48,27 @@
 	})
 }
 
+// If only prompts with the part break off, all their shared parts have the same crashes.
+func TestOfPartsWithTheSameCrashesTheLeastClearedAndLastIsQuarantined(t *testing.T) {
+	for _, cleared := range [][]string{{"first", "last"}, {"first"}, nil} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			tr, _ := newTracker()
+			tr.RecordAnswer(cleared)
+			for engine := range 6 {
+				tr.RecordCrash(crashAt(engine, uint64(engine), "first", "bad", "last"))
+			}
+			time.Sleep(settleTime)
+			expected := "bad"
+			if len(cleared) < 2 {
+				expected = "last"
+			}
+			g.Expect(quarantined(tr, expected)).To(BeTrue())
+			g.Expect(tr.Entries()).To(HaveLen(1))
+		})
+	}
+}
+
 func TestRepeatsOfOnePromptDoNotQuarantineItsParts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr, _ := newTracker()
