Placement: engines at their rate limit help with the prefill

Cause, from the model: an engine whose limit permits no request at the moment was left out of everything, also of prompts that others decode. A limit is on the requests that hosts send; the parts of a prompt that its first engine hands out are none of them.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -80,9 +80,10 @@
 }
 
 // choosePrompt chooses the engines for a prompt: it compares the best choice for
-// each feasible number of parts and takes the one with the lowest cost.
-func (p *Placement) choosePrompt(req *Request, candidates []*targetLoad, s *shard, now time.Time) []Share {
-	c := newChooser(req, candidates, s, now)
+// each feasible number of parts and takes the one with the lowest cost. The helpers only
+// prefill.
+func (p *Placement) choosePrompt(req *Request, candidates, helpers []*targetLoad, s *shard, now time.Time) []Share {
+	c := newChooser(req, candidates, helpers, s, now)
 	c.unseenPrompts = s.demand.shortPrompts.perSecond(now) * time.Duration(p.placer.propagationDelay.Load()).Seconds()
 	var best *choice
 	for _, parts := range c.feasiblePartCounts() {
@@ -119,11 +120,12 @@
 	random             *rand.Rand
 }
 
-func newChooser(req *Request, candidates []*targetLoad, s *shard, now time.Time) *chooser {
+func newChooser(req *Request, candidates, helpers []*targetLoad, s *shard, now time.Time) *chooser {
 	c := &chooser{req: req, engine: req.Engine, weight: req.weight(), random: s.random}
 	blocked := 0
-	for _, l := range candidates {
+	for i, l := range slices.Concat(candidates, helpers) {
 		snap := newEngineSnapshot(l, req.Engine, now)
+		snap.onlyHelps = i >= len(candidates)
 		if snap.backlog > blockingBacklog {
 			blocked++
 		}
@@ -158,21 +160,26 @@
 // choose returns the choice of the cheapest engines for a number of parts.
 func (c *chooser) choose(parts int) *choice {
 	prefillTime := partPrefillTime(c.engine, c.req.PromptTokens, parts)
-	ranked := make([]engineCost, len(c.engines))
+	ranked := make([]engineCost, 0, len(c.engines))
 	reserved := reservation(c.req, parts)
-	for i, snap := range c.engines {
-		ranked[i] = c.evaluate(snap, prefillTime)
+	for _, snap := range c.engines {
+		if snap.onlyHelps && parts == 1 {
+			continue
+		}
+		cost := c.evaluate(snap, prefillTime)
 		if reserved > 0 && (snap.noMemory || snap.tokens+reserved > c.engine.MemoryTokens) {
-			ranked[i].total += overcommitCost * c.weight
+			cost.total += overcommitCost * c.weight
 		}
 		if parts > 1 && snap.helperParts+helperSlotMargin >= c.engine.Slots {
-			ranked[i].total += overcommitCost * c.weight
+			cost.total += overcommitCost * c.weight
 		}
+		ranked = append(ranked, cost)
 	}
 	slices.SortFunc(ranked, func(a, b engineCost) int { return compareFloat(a.total, b.total) })
 	if c.singleEngine() {
 		c.spread(ranked)
 	}
+	ensureDecodeEngine(ranked, parts)
 	chosen := ranked[:parts]
 	c.putDecodeEngineFirst(chosen, parts)
 	ch := &choice{prefillTime: prefillTime}
@@ -285,12 +292,24 @@
 	return minParts(c.req) == 1 && c.engine.PrefillTime(c.req.PromptTokens) <= maxSoloPrefill
 }
 
+// ensureDecodeEngine replaces the last of the chosen engines, the first ones, by the
+// cheapest that can decode if none of them can.
+func ensureDecodeEngine(ranked []engineCost, chosen int) {
+	first := slices.IndexFunc(ranked, func(r engineCost) bool { return !r.snap.onlyHelps })
+	if first >= chosen {
+		ranked[chosen-1], ranked[first] = ranked[first], ranked[chosen-1]
+	}
+}
+
 // putDecodeEngineFirst moves the engine that is cheapest to decode on to the front.
 func (c *chooser) putDecodeEngineFirst(chosen []engineCost, parts int) {
-	best, bestCost := 0, 0.0
+	best, bestCost := -1, 0.0
 	for i, r := range chosen {
+		if r.snap.onlyHelps {
+			continue
+		}
 		cost := c.decodeCost(r.snap, parts) + float64(r.snap.tokens)/float64(c.engine.MemoryTokens) + float64(r.snap.running)/float64(max(c.engine.Slots, 1))
-		if i == 0 || cost < bestCost {
+		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -29,6 +29,9 @@
 	noMemory    bool            // it recently had no memory for a reservation
 	// inPrefillPool marks an engine that is preferred for parts of long prompts.
 	inPrefillPool bool
+	// onlyHelps marks an engine that gets no requests of its own, since it is at its rate
+	// limit.
+	onlyHelps bool
 	// takesLate marks an engine for short prompts that will be late in any case.
 	takesLate bool
 }
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -71,6 +72,9 @@
 	// unknownPrompts is how many prompts of 500,000 tokens are prefilled on the first
 	// engines from the start, one on each, of which no host knows.
 	unknownPrompts int
+	// limitedEngines is how many engines name a rate limit of limitPerSecond.
+	limitedEngines int
+	limitPerSecond float64
 }
 
 // stats collects the results of one workload.
@@ -151,6 +155,10 @@
 		pl := placement.NewPlacer(func() time.Time { return start.Add(sim.fleet.Now()) }, seed+uint64(i))
 		pl.SetObserver(jobReporter{sim, i})
 		pl.SetPropagationDelay(s.propagationDelay)
+		pl.SetPeers(s.hosts, s.hosts)
+		for _, t := range sim.targets[:s.limitedEngines] {
+			pl.RecordPeerRateLimit(placement.TargetRateLimit{Service: "llm", Target: t.TargetKey, Limit: placement.RateLimit{PerSecond: s.limitPerSecond, Named: true}})
+		}
 		sim.placers = append(sim.placers, pl)
 	}
 	for _, wl := range s.workloads {
@@ -236,7 +244,18 @@
 }
 
 func (sim *simulation) arrive(wl workload, r request) {
-	placed, engines := sim.place(wl, r)
+	placed, engines, err := sim.place(wl, r)
+	var limited *placement.RateLimitedError
+	switch {
+	case errors.As(err, &limited) && sim.fleet.Now()+limited.RetryAfter <= r.at+wl.objective:
+		sim.after(limited.RetryAfter, func() { sim.arrive(wl, r) })
+		return
+	case errors.As(err, &limited):
+		sim.statsByWorkload[wl.name].refused++
+		return
+	case err != nil:
+		panic(err) // there are always targets
+	}
 	if sim.impatientCallers && float64(placed.PredictedWait) > maxWaitRatio*float64(wl.abandonAfter()) {
 		placed.End(placement.Abandoned)
 		sim.statsByWorkload[wl.name].refused++
@@ -290,7 +309,7 @@
 	return max(2*time.Second, 4*wl.objective, 8*wl.maxEventGap)
 }
 
-func (sim *simulation) place(wl workload, r request) (*placement.Placement, []int) {
+func (sim *simulation) place(wl workload, r request) (*placement.Placement, []int, error) {
 	req := placement.Request{
 		Service: "llm", Engine: &engineSpec, PromptTokens: r.tokens, OutputTokens: r.outputHint,
 		Objective: wl.objective, MaxEventGap: wl.maxEventGap, AbandonAfter: wl.abandonAfter(), Waited: sim.fleet.Now() - r.at,
@@ -301,7 +320,7 @@
 	}
 	placed, err := sim.placers[r.host].Place(req, targets)
 	if err != nil {
-		panic(err) // there are always targets
+		return nil, nil, err
 	}
 	engines := []int{sim.index[placed.Primary.TargetKey]}
 	for _, part := range placed.Parts {
@@ -309,7 +328,7 @@
 			engines = append(engines, i)
 		}
 	}
-	return placed, engines
+	return placed, engines, nil
 }
 
 // pickRandomTargets picks one engine at random, or eight for a prompt that is too large
@@ -436,3 +455,28 @@
 	t.Logf("%d requests, %d in time, %d without these engines", requests, inTime, without)
 	g.Expect(inTime).To(BeNumerically(">=", without))
 }
+
+// Engines at their rate limit get few requests of their own. What they can still do for
+// long prompts of others is worth more to callers than leaving them out.
+func TestEnginesAtTheirRateLimitAreWorthUsing(t *testing.T) {
+	g := NewWithT(t)
+	s := scenario{
+		workloads: []workload{question, review, handbook}, hosts: 6, duration: 10 * time.Second,
+		propagationDelay: 3 * time.Millisecond, impatientCallers: true, limitPerSecond: 1,
+	}
+	requests, inTime, without := 0, 0, 0
+	for seed := range uint64(8) {
+		s.engines, s.limitedEngines = 23, 10
+		got := simulate(s, seed)
+		s.engines, s.limitedEngines = 13, 0
+		base := simulate(s, seed)
+		for name, st := range got {
+			t.Logf("seed %d, %s: %d requests, %d in time, %d without these engines", seed, name, st.requests, st.inTime, base[name].inTime)
+			requests += st.requests
+			inTime += st.inTime
+			without += base[name].inTime
+		}
+	}
+	t.Logf("%d requests, %d in time, %d without these engines", requests, inTime, without)
+	g.Expect(inTime).To(BeNumerically(">", without))
+}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -118,7 +118,7 @@
 	defer s.mu.Unlock()
 	view := pl.fleetView()
 	s.ownAttempts.add(1, now)
-	candidates, err := s.candidates(req, targets, view, now)
+	candidates, helpers, err := s.candidates(req, targets, view, now)
 	if err != nil {
 		return nil, err
 	}
@@ -127,8 +127,7 @@
 	if req.Engine == nil {
 		shares = p.choosePlain(candidates, s.random, now)
 	} else {
-		candidates = s.sampleCandidates(candidates)
-		shares = p.choosePrompt(&req, candidates, s, now)
+		shares = p.choosePrompt(&req, s.sampleCandidates(candidates), s.sampleCandidates(helpers), s, now)
 	}
 	p.job = &trackedJob{placedAt: now, Job: Job{
 		ID: JobID(pl.lastID.Add(1)), Service: req.Service, Shares: shares, Weight: req.weight(),
@@ -141,11 +140,12 @@
 	return p, nil
 }
 
-// candidates returns the eligible targets, at least as many as the request needs.
-// Ejected targets, and those of unreachable failure domains, are used only if there
-// are no others. Targets whose rate limit is reached are not used at all.
-func (s *shard) candidates(req Request, targets []catalog.Target, view fleetView, now time.Time) ([]*targetLoad, error) {
-	var healthy, unhealthy []*targetLoad
+// candidates returns the eligible targets, and apart from them those that may only help
+// with the prefill, since their rate limit permits no request at the moment. Together
+// they are at least as many as the request needs. Ejected targets, and those of
+// unreachable failure domains, are eligible only if there are no others.
+func (s *shard) candidates(req Request, targets []catalog.Target, view fleetView, now time.Time) (eligible, helpers []*targetLoad, err error) {
+	var unhealthy []*targetLoad
 	var limited *RateLimitedError
 	unreachable := s.unreachableDomains(now)
 	for _, t := range targets {
@@ -154,27 +154,30 @@
 		}
 		l := s.load(t.TargetKey)
 		l.target = t
-		if wait := s.rateLimitWait(l, view, now); wait > 0 {
+		healthy := !l.ejected(now) && !unreachable[t.Domain]
+		wait := s.rateLimitWait(l, view, now)
+		switch {
+		case wait > 0:
 			limited = limited.earlier(wait)
-			continue
-		}
-		if l.ejected(now) || unreachable[t.Domain] {
+			if healthy {
+				helpers = append(helpers, l)
+			}
+		case healthy:
+			eligible = append(eligible, l)
+		default:
 			unhealthy = append(unhealthy, l)
-		} else {
-			healthy = append(healthy, l)
 		}
 	}
-	candidates := healthy
-	if len(candidates) == 0 {
-		candidates = unhealthy
+	if len(eligible) == 0 {
+		eligible = unhealthy
 	}
 	switch {
-	case len(candidates) >= max(minParts(&req), 1):
-		return candidates, nil
-	case limited != nil:
-		return nil, limited
+	case len(eligible) > 0 && len(eligible)+len(helpers) >= minParts(&req):
+		return eligible, helpers, nil
+	case len(eligible) == 0 && limited != nil:
+		return nil, nil, limited
 	default:
-		return nil, ErrNoTarget
+		return nil, nil, ErrNoTarget
 	}
 }
 
--- a/internal/placement/ratelimit_test.go
+++ b/internal/placement/ratelimit_test.go
@@ -1,6 +1,8 @@
 package placement_test
 
 import (
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,3 +40,44 @@
 	g.Expect(placer.RecordRateLimit(plainTarget, placement.RateLimit{}, clock.ago(time.Millisecond))).To(BeTrue())
 	g.Expect(placer.RateLimits()).To(BeEmpty())
 }
+
+// An engine at its rate limit decodes nothing new but helps to prefill long prompts.
+func TestEnginesAtTheirRateLimitOnlyHelpWithThePrefill(t *testing.T) {
+	const atLimit = 3
+	engines := engineTargets(4)
+	clock := newManualClock()
+	placer := placement.NewPlacer(clock.Now, 1)
+	place := func(promptTokens int) (*placement.Placement, error) {
+		return placer.Place(placement.Request{Service: "llm", Engine: &engineSpec, PromptTokens: promptTokens, OutputTokens: 200, Objective: 2500 * time.Millisecond}, engines)
+	}
+	g := NewWithT(t)
+	p, err := place(2000)
+	g.Expect(err).NotTo(HaveOccurred())
+	p.End(placement.Served)
+	for _, e := range engines[:atLimit] {
+		placer.RecordPeerRateLimit(placement.TargetRateLimit{Service: "llm", Target: e.TargetKey, Limit: placement.RateLimit{PerSecond: 1, Named: true}})
+	}
+	for _, tokens := range []int{2000, 150000, 300000} {
+		p, err := place(tokens)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(p.Primary.ID).To(Equal(engines[atLimit].ID))
+		if tokens > 2000 {
+			g.Expect(len(p.Parts)).To(BeNumerically(">", 1))
+		}
+		p.End(placement.Served)
+	}
+	placer.RecordPeerRateLimit(placement.TargetRateLimit{Service: "llm", Target: engines[atLimit].TargetKey, Limit: placement.RateLimit{PerSecond: 1, Named: true}})
+	var limited *placement.RateLimitedError
+	for _, tokens := range []int{2000, 300000} {
+		_, err := place(tokens)
+		g.Expect(errors.As(err, &limited)).To(BeTrue())
+	}
+}
+
+func engineTargets(n int) []catalog.Target {
+	var out []catalog.Target
+	for i := range n {
+		out = append(out, catalog.Target{TargetKey: catalog.TargetKey{ID: fmt.Sprint("engine-", i)}, Service: "llm", Slots: engineSpec.Slots})
+	}
+	return out
+}
