--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -220,8 +220,8 @@
 }
 
 // hello returns the first message of a connection, with all known hosts and, if the
-// link carries jobs, all jobs in progress, known rate limits and what is in quarantine. Within the failure domain it also holds
-// the jobs that this host relays.
+// link carries jobs, all jobs in progress, known rate limits and what is in quarantine.
+// Within the failure domain it also holds the jobs that this host relays.
 func (l *link) hello() *peerspb.News {
 	s := l.service
 	n := &peerspb.News{From: s.self, Known: s.hosts.gossip(time.Time{}, time.Now()), Jobs: l.route.jobs, PassOn: l.route.relay}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -60,8 +60,8 @@
 type Crash struct {
 	Request uint64 // fingerprint of the prompt
 	Target  catalog.TargetKey
-	Parts   []string // that the prompt shares with others
-	Age     time.Duration
+	Parts   []string      // that the prompt shares with others
+	Age     time.Duration // since the crash; 0 for a new one
 }
 
 // Answers reports how many recent answers clear a part.
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -28,6 +28,15 @@
 	return quarantine.Crash{Request: request, Target: catalog.TargetKey{ID: fmt.Sprint("engine-", engine)}, Parts: parts}
 }
 
+// crashEngines records crashes of different engines under different prompts and waits
+// until peers have had time to report answers.
+func crashEngines(tr *quarantine.Tracker, count int, parts ...string) {
+	for engine := range count {
+		tr.RecordCrash(crashAt(engine, uint64(engine), parts...))
+	}
+	time.Sleep(settleTime)
+}
+
 func quarantined(tr *quarantine.Tracker, part string) bool {
 	_, found := tr.Quarantined([]string{part})
 	return found
@@ -55,10 +64,7 @@
 			g := NewWithT(t)
 			tr, _ := newTracker()
 			tr.RecordAnswer(cleared)
-			for engine := range 6 {
-				tr.RecordCrash(crashAt(engine, uint64(engine), "first", "bad", "last"))
-			}
-			time.Sleep(settleTime)
+			crashEngines(tr, 6, "first", "bad", "last")
 			expected := "bad"
 			if len(cleared) < 2 {
 				expected = "last"
@@ -102,10 +108,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		tr, _ := newTracker()
-		for engine := range 3 {
-			tr.RecordCrash(crashAt(engine, uint64(engine), "slow"))
-		}
-		time.Sleep(settleTime)
+		crashEngines(tr, 3, "slow")
 		g.Expect(quarantined(tr, "slow")).To(BeTrue())
 		tr.RecordAnswer([]string{"slow"})
 		g.Expect(quarantined(tr, "slow")).To(BeFalse())
@@ -118,10 +121,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		tr, reports := newTracker()
-		for engine := range 3 {
-			tr.RecordCrash(crashAt(engine, uint64(engine), "slow"))
-		}
-		time.Sleep(settleTime)
+		crashEngines(tr, 3, "slow")
 		g.Expect(quarantined(tr, "slow")).To(BeTrue())
 		tr.RecordAnswer([]string{"slow"})
 		g.Expect(quarantined(tr, "slow")).To(BeFalse())
@@ -158,10 +158,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		tr, _ := newTracker()
-		for engine := range 3 {
-			tr.RecordCrash(crashAt(engine, uint64(engine), "bad"))
-		}
-		time.Sleep(settleTime)
+		crashEngines(tr, 3, "bad")
 		first := tr.Entries()
 		g.Expect(first).To(HaveLen(1))
 		time.Sleep(first[0].Period)
