--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -26,9 +25,6 @@
 	// caller is expected to wait; a request at or above it is refused
 	// immediately.
 	maxWaitRatio = 1.0
-	// rateLimitJitter spreads the requests that wait for the rate limits of the same
-	// targets.
-	rateLimitJitter = 50 * time.Millisecond
 	// reservedWaitRatio is the ratio of the wait for the first event to the predicted
 	// one from which a target with reserved memory counts as unresponsive, and
 	// minReservedWait is the shortest such wait.
@@ -113,22 +109,6 @@
 	return ReasonNoTarget
 }
 
-// waitForRateLimit waits until a target may accept another request. A request whose
-// objective passes before is refused, unless the caller has part of the answer already.
-func (j *job) waitForRateLimit(ctx context.Context, limited *placement.RateLimitedError) (attemptResult, Reason) {
-	wait := limited.RetryAfter + rand.N(rateLimitJitter)
-	if !j.responseStarted && time.Now().Add(wait).After(j.req.Arrived.Add(j.route.Objective)) {
-		j.retryAfter = wait
-		return resultRejected, ReasonRateLimited
-	}
-	select {
-	case <-ctx.Done():
-		return resultRejected, ReasonRateLimited
-	case <-time.After(wait):
-	}
-	return resultPostponed, ReasonRateLimited
-}
-
 // waitTooLong reports whether the caller is expected to disconnect before the
 // first event even with the best placement. The backlog may be shorter when the
 // caller retries later.
@@ -232,17 +212,6 @@
 	return resultUnknown, ReasonNoUsableResponse
 }
 
-// recordRateLimit records the rate limit that a target names in an answer to a request
-// sent at sentAt.
-func (j *job) recordRateLimit(target catalog.Target, limit placement.RateLimit, sentAt time.Time) {
-	if !j.relay.cfg.Placer.RecordRateLimit(target, limit, sentAt) {
-		return
-	}
-	j.relay.cfg.Log.Info("rate limit of a target changed", zap.String("target", target.ID), zap.String("service", target.Service),
-		zap.Bool("limited", limit.Named), zap.Float64("per_second", limit.PerSecond))
-	j.relay.cfg.Peers.RateLimitChanged(placement.TargetRateLimit{Service: target.Service, Target: target.TargetKey, Limit: limit})
-}
-
 // handleResponse decides whether the request was executed and relays the
 // response or returns why another attempt is needed.
 func (j *job) handleResponse(ctx context.Context, placed *placement.Placement, resp *Response, watchdog *watchdog) (attemptResult, Reason) {
