Placement: log and count services that a host no longer reaches

Logs did not say that a host had got no answer from any target of a service, since when, or when it ended, so a host whose links were cut could not be told from one that judged its targets wrongly.

A service counts as unreachable once attempts at two targets (or at its only one) have got no answer and no target has answered since the first of them. Nothing acts on it yet.

--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -15,13 +15,15 @@
 // Placer assigns requests to targets. It tracks the load of all targets in one
 // shard per service. It is safe for concurrent use.
 type Placer struct {
-	now              func() time.Time
-	seed             uint64
-	observer         JobObserver
-	lastID           atomic.Uint64
-	propagationDelay atomic.Int64 // of peers' job updates, in nanoseconds
-	countedHosts     atomic.Int64 // hosts whose jobs this host knows, this one included
-	knownHosts       atomic.Int64 // all hosts, this one included
+	now      func() time.Time
+	seed     uint64
+	observer JobObserver
+	// reachabilityChanged is told of services that become unreachable or reachable.
+	reachabilityChanged func(ReachabilityChange)
+	lastID              atomic.Uint64
+	propagationDelay    atomic.Int64 // of peers' job updates, in nanoseconds
+	countedHosts        atomic.Int64 // hosts whose jobs this host knows, this one included
+	knownHosts          atomic.Int64 // all hosts, this one included
 
 	mu     sync.RWMutex
 	shards map[string]*shard
@@ -36,15 +38,20 @@
 	local       map[JobID]*trackedJob
 	remote      map[string]map[JobID]*trackedJob // by peer
 	demand      demand
+	targetCount int  // targets of the service in the latest call of Place
 	ownAttempts rate // calls of Place, by this host alone
-	random      *rand.Rand
-	lastProbe   map[string]time.Time // by failure domain: when a request last probed it while unreachable
+	// reachability is judged by this host's own attempts.
+	reachability reachability
+	random       *rand.Rand
+	lastProbe    map[string]time.Time // by failure domain: when a request last probed it while unreachable
 }
 
 // NewPlacer returns a Placer without jobs. It reads the time from now and seeds
 // the random choice between equal targets with seed.
 func NewPlacer(now func() time.Time, seed uint64) *Placer {
-	pl := &Placer{now: now, seed: seed, observer: noopObserver{}, shards: make(map[string]*shard)}
+	pl := &Placer{
+		now: now, seed: seed, observer: noopObserver{}, reachabilityChanged: func(ReachabilityChange) {}, shards: make(map[string]*shard),
+	}
 	pl.SetPeers(1, 1)
 	return pl
 }
@@ -118,6 +125,7 @@
 	defer s.mu.Unlock()
 	view := pl.fleetView()
 	s.ownAttempts.add(1, now)
+	s.targetCount = len(targets)
 	candidates, helpers, err := s.candidates(req, targets, view, now)
 	if err != nil {
 		return nil, err
@@ -286,6 +294,7 @@
 	if l := p.shard.loads[p.Primary.TargetKey]; l != nil {
 		l.answeredAt = now
 	}
+	p.placer.recordReachability(p.shard, p.Primary.TargetKey, Served, now)
 	p.placer.observer.JobPrefilled(p.job.ID)
 }
 
@@ -304,5 +313,6 @@
 	if l := p.shard.loads[p.Primary.TargetKey]; l != nil {
 		l.recordResult(result, now)
 	}
+	p.placer.recordReachability(p.shard, p.Primary.TargetKey, result, now)
 	p.placer.observer.JobEnded(p.job.ID)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -96,9 +96,19 @@
 		Now: time.Now, Report: cfg.Peers.AnswersReceived, HostCount: cfg.Peers.HostCount, Log: cfg.Log,
 	})
 	r.SetSettings(cfg.Settings)
+	cfg.Placer.OnReachabilityChanged(r.logReachability)
 	return r
 }
 
+// logReachability logs that this host has lost or regained its path to a service.
+func (r *Relay) logReachability(c placement.ReachabilityChange) {
+	message := "service unreachable from this host"
+	if c.Reachable {
+		message = "service reachable again"
+	}
+	r.cfg.Log.Warn(message, zap.String("service", c.Service), zap.Duration("for", time.Since(c.Since)), zap.Int("failed_targets", c.FailedTargets))
+}
+
 // SetSettings replaces the settings. Reservations that are already held are
 // renewed with the old lease duration.
 func (r *Relay) SetSettings(s Settings) { r.settings.Store(&s) }
