--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -50,6 +50,10 @@
 	relay  *relay.Relay
 	placer *placement.Placer
 	views  *staticView
+	links  *targetLinks
+
+	sendMu sync.Mutex
+	unsent []func(peer *fleetHost) // updates on their way, oldest first
 
 	// The mutex of the fleet protects the following.
 	gone        bool
@@ -70,7 +74,7 @@
 // join adds a host that learns of the jobs in progress from the others.
 func (f *fleet) join() *fleetHost {
 	f.mu.Lock()
-	h := &fleetHost{fleet: f, id: fmt.Sprint("host-", len(f.hosts)), disturbedAt: time.Now()}
+	h := &fleetHost{fleet: f, id: fmt.Sprint("host-", len(f.hosts)), disturbedAt: time.Now(), links: newTargetLinks()}
 	h.views = newStaticView(f.source)
 	h.placer = placement.NewPlacer(time.Now, uint64(len(f.hosts)))
 	h.placer.SetPropagationDelay(updateDelay)
@@ -199,11 +203,19 @@
 	}
 }
 
-// broadcast applies an update at all hosts that the host's updates reach by then.
+// broadcast applies an update at all hosts that the host's updates reach by then. Updates
+// of a host arrive in their order.
 func (h *fleetHost) broadcast(apply func(peer *fleetHost)) {
+	h.sendMu.Lock()
+	h.unsent = append(h.unsent, apply)
+	h.sendMu.Unlock()
 	time.AfterFunc(updateDelay, func() {
+		h.sendMu.Lock()
+		defer h.sendMu.Unlock()
+		oldest := h.unsent[0]
+		h.unsent = h.unsent[1:]
 		for _, peer := range h.fleet.peersOf(h) {
-			apply(peer)
+			oldest(peer)
 		}
 	})
 }
@@ -289,6 +301,7 @@
 // arrival is a request that reached a target.
 type arrival struct {
 	target  string
+	host    string
 	request *relay.Request
 	at      time.Time
 	calm    bool // the host was calm
@@ -297,7 +310,8 @@
 // fleetTargets are the targets of a fleet. They answer after a delay and record
 // arrivals.
 type fleetTargets struct {
-	delay time.Duration
+	delay         time.Duration
+	eventInterval time.Duration
 
 	mu       sync.Mutex
 	limits   map[string]placement.RateLimit // by target
@@ -344,7 +358,7 @@
 	calm := h.calm(calmTime)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.arrivals = append(t.arrivals, arrival{target: target, request: req, at: time.Now(), calm: calm})
+	t.arrivals = append(t.arrivals, arrival{target: target, host: h.id, request: req, at: time.Now(), calm: calm})
 	return t.limits[target]
 }
 
@@ -364,17 +378,22 @@
 // fleetTransport is one host's transport to the targets of its fleet.
 type fleetTransport struct{ host *fleetHost }
 
-func (tr *fleetTransport) Send(_ context.Context, call relay.Call) (*relay.Response, error) {
+func (tr *fleetTransport) Send(ctx context.Context, call relay.Call) (*relay.Response, error) {
 	targets, id := tr.host.fleet.targets, call.Target.ID
+	if err := tr.host.links.connect(ctx, call.Target.Service); err != nil {
+		return nil, err
+	}
 	limit := targets.arrive(id, call.Request, tr.host)
-	time.Sleep(targets.delay)
+	if err := tr.host.links.await(ctx, call.Target.Service, targets.delay); err != nil {
+		return nil, &relay.SendError{MaybeSent: true, Cause: err}
+	}
 	if e := targets.engine(id); e != nil {
 		return e.answer(call)
 	}
 	resp := &relay.Response{Status: http.StatusOK, Header: http.Header{}, Authentic: true, RateLimit: limit, Body: io.NopCloser(strings.NewReader("done"))}
 	if strings.HasPrefix(call.Request.URI, "/chat/") {
 		resp.Stream = true
-		resp.Body = io.NopCloser(strings.NewReader(events(1, streamEvents)))
+		resp.Body = tr.stream(ctx, call)
 	}
 	return resp, nil
 }
