--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -32,9 +32,12 @@
 	Partner string
 	Listen  netip.AddrPort
 	// TLS comes from NewTLSConfig. If it is nil, connections are in plain text, which is allowed
-	// on loopback addresses only.
-	TLS    *tls.Config
-	Logger *zap.Logger // nil disables logging
+	// on loopback addresses only, unless PlainText is set.
+	TLS *tls.Config
+	// PlainText allows connections without TLS to any address, for networks that give
+	// hosts no certificates.
+	PlainText bool
+	Logger    *zap.Logger // nil disables logging
 
 	MaxMessageBytes   int
 	MaxStreamsPerPeer int           // maximum number of streams that one peer may have open to this host
@@ -75,7 +78,7 @@
 	if c.Self.Host == "" {
 		return eris.New("mesh: the host id is empty; set it in the settings")
 	}
-	if c.TLS == nil && !c.Listen.Addr().IsLoopback() {
+	if c.TLS == nil && !c.PlainText && !c.Listen.Addr().IsLoopback() {
 		return eris.Errorf("mesh: plain text on %s is refused; give a CA, a certificate and a key, or listen on a loopback address", c.Listen.Addr())
 	}
 	if c.TLS == nil {
--- a/internal/mesh/handshake.go
+++ b/internal/mesh/handshake.go
@@ -32,7 +32,7 @@
 	if !ok {
 		return nil, ErrUnknownHost
 	}
-	if m.cfg.TLS == nil && !h.PeerAddr.Addr().IsLoopback() {
+	if m.cfg.TLS == nil && !m.cfg.PlainText && !h.PeerAddr.Addr().IsLoopback() {
 		return nil, fmt.Errorf("%w: plain text to %s is refused; give a CA, a certificate and a key", ErrIdentity, h.PeerAddr.Addr())
 	}
 	raw, err := new(net.Dialer).DialContext(ctx, "tcp", h.PeerAddr.String())
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -104,7 +104,8 @@
 }
 
 // SetHosts replaces the host list. Connections to hosts that are no longer on it
-// are drained: they take no new streams and close when their streams are done.
+// are drained: they take no new streams and close when their streams are done. A host that
+// is not on its own list keeps no links: it connects to others when it opens a stream.
 func (m *Mesh) SetHosts(hosts []topology.Host) {
 	byID := make(map[string]topology.Host, len(hosts))
 	ids := make([]string, 0, len(hosts))
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -324,3 +324,15 @@
 	g.Expect(st.Recv(&msg)).To(gomega.Succeed())
 	return st
 }
+
+// Hosts that are not on their own lists keep no links, and connect when they open a stream.
+func TestPlainTextIsAllowedIfConfigured(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, err := New(Config{Self: testIncarnation("a"), Listen: netip.MustParseAddrPort("192.0.2.1:7000"), PlainText: true})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	a, b := startPair(t, func(c *Config) { c.PlainText = true })
+	a.SetHosts(hostList(b))
+	b.SetHosts(hostList(a))
+	g.Expect(a.Links()).To(gomega.BeEmpty())
+	openAndEcho(g, t, a)
+}
