Relay: hosts that reach no target pass requests to hosts that do

Cause: a host had no other way to its targets than its own links. Each request was tried at several targets and refused. Class: a resource that all hosts share was out of reach for one, and nothing but the caller's retry used the hosts that still had it.

Ruled out: leaving the balancer's rotation alone does not help, since open connections stay and a domain with most hosts out of rotation gets its callers all the same; the hosts' judgement of targets was right, every attempt was refused by the network.

Now a service counts as unreachable after failures at two of its targets with no answer from any since the first. A host takes one hop only, makes at most one attempt that may execute the request, and refuses at once as not run if it cannot help; retries, keys, deadlines, rate limits and quarantine count once. An unreachable service is probed every 0.25 to 0.75 s by one connection; ejections of the cut end with it, so that the first target that answers is not flooded.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -69,6 +69,7 @@
 	placer    *placement.Placer
 	relay     *relay.Relay
 	peers     *peers.Service
+	forward   *forwarding
 	metrics   *metrics
 	draining  atomic.Bool
 	started   atomic.Bool
@@ -82,8 +83,13 @@
 // New returns a host. Call Start to serve requests.
 func New(settings Settings, adapter Adapter, log *zap.Logger) (*Host, error) {
 	h := &Host{settings: settings, adapter: adapter, log: log, placer: placement.NewPlacer(time.Now, rand.Uint64()), done: make(chan struct{})}
+	var err error
+	if h.forward, err = newForwarding(settings, log); err != nil {
+		return nil, err
+	}
 	h.peers = peers.New(peers.Config{
-		HostID: settings.HostID, Domain: settings.Domain, Addr: settings.PeersAddr, Seeds: settings.Seeds, Placer: h.placer, Log: log,
+		HostID: settings.HostID, Domain: settings.Domain, Addr: settings.PeersAddr, ForwardAddr: settings.ForwardAddr,
+		Seeds: settings.Seeds, OnHosts: h.forward.setHosts, Placer: h.placer, Log: log,
 	})
 	h.placer.SetObserver(h.peers)
 	budget, err := newRetryBudget(settings, h.peers.HostCount)
@@ -100,6 +106,7 @@
 		RetryBudget: budget,
 		Observer:    h.metrics,
 		Peers:       h.peers,
+		Forwarder:   h.forward.relayForwarder(),
 		Log:         log,
 		Settings:    relaySettings(settings),
 		HostID:      settings.HostID,
@@ -151,6 +158,10 @@
 			return err
 		}
 	}
+	if err := h.forward.start(ctx, h.relay, h.draining.Load); err != nil {
+		cancel()
+		return err
+	}
 	for _, srv := range []*httpserver.Server{h.readyServer, h.callerServer, h.metricsServer} {
 		if srv == nil {
 			continue
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -25,6 +25,7 @@
 	registry   *prometheus.Registry
 	refusals   *prometheus.CounterVec
 	attempts   *prometheus.CounterVec
+	forwards   *prometheus.CounterVec
 	firstEvent prometheus.Histogram
 	duration   prometheus.Histogram
 	active     prometheus.Gauge
@@ -39,6 +40,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "attempts_total", Help: "Attempts at targets.",
 		}, []string{"service", "outcome"}),
+		forwards: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "forwarded_requests_total", Help: "Requests passed to other hosts.",
+		}, []string{"outcome"}),
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "first_event_seconds", Help: "Time from arrival to a stream's first event.", Buckets: latencyBuckets,
 		}),
@@ -49,7 +53,7 @@
 			Namespace: namespace, Name: "requests_in_progress", Help: "Requests in progress.",
 		}),
 	}
-	m.registry.MustRegister(m.refusals, m.attempts, m.firstEvent, m.duration, m.active, collectors.NewGoCollector())
+	m.registry.MustRegister(m.refusals, m.attempts, m.forwards, m.firstEvent, m.duration, m.active, collectors.NewGoCollector())
 	m.registerGauge("view_age_seconds", "Time since the view of the store was confirmed.", func() float64 { return f.Age().Seconds() })
 	m.registerGauge("store_calls", "Calls to the store.", func() float64 { calls, _ := f.Stats(); return float64(calls) })
 	m.registerGauge("store_failures", "Calls to the store without a usable answer.", func() float64 { _, failures := f.Stats(); return float64(failures) })
@@ -79,6 +83,9 @@
 	m.attempts.WithLabelValues(service, outcome).Inc()
 }
 
+// Forwarded counts a request passed to another host, by outcome.
+func (m *metrics) Forwarded(outcome string) { m.forwards.WithLabelValues(outcome).Inc() }
+
 // FirstEvent records the time from arrival to a stream's first event.
 func (m *metrics) FirstEvent(_ string, took time.Duration) { m.firstEvent.Observe(took.Seconds()) }
 
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -18,6 +18,7 @@
 	ReadyAddr   netip.AddrPort
 	PeersAddr   netip.AddrPort // disabled if zero
 	MetricsAddr netip.AddrPort // disabled if zero
+	ForwardAddr netip.AddrPort // for requests of other hosts; disabled if zero
 	StoreAddr   netip.AddrPort
 	Seeds       []netip.AddrPort // initial peers to contact; some may be down
 
--- a/internal/peers/hosts.go
+++ b/internal/peers/hosts.go
@@ -120,7 +120,7 @@
 		if e.firstSeen.After(since) || rand.IntN(len(t.hosts)) < gossipSample {
 			out = append(out, &peerspb.Host{
 				Id: e.host.GetId(), StartedMs: e.host.GetStartedMs(), Addr: e.host.GetAddr(), Domain: e.host.GetDomain(),
-				QuietMs: uint32(now.Sub(e.lastSeen).Milliseconds()),
+				QuietMs: uint32(now.Sub(e.lastSeen).Milliseconds()), ForwardAddr: e.host.GetForwardAddr(),
 			})
 		}
 	}
@@ -139,6 +139,33 @@
 	return false
 }
 
+// ForwardHost is another host that takes requests of this one.
+type ForwardHost struct {
+	ID     string
+	Domain string
+	Addr   netip.AddrPort
+}
+
+// forwardHostTTL is how long after it was last seen a host counts as one that takes
+// requests.
+const forwardHostTTL = 20 * time.Second
+
+// forwardHosts returns the hosts that take requests of other hosts, sorted by id.
+func (t *hostTable) forwardHosts(now time.Time) []ForwardHost {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []ForwardHost
+	for _, e := range t.hosts {
+		addr, err := netip.ParseAddrPort(e.host.GetForwardAddr())
+		if err != nil || now.Sub(e.lastSeen) > forwardHostTTL {
+			continue // takes none, or is probably gone
+		}
+		out = append(out, ForwardHost{ID: e.host.GetId(), Domain: e.host.GetDomain(), Addr: addr})
+	}
+	slices.SortFunc(out, func(a, b ForwardHost) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // count returns the number of hosts last seen within hostTTL.
 func (t *hostTable) count(now time.Time) int {
 	t.mu.Lock()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -17,6 +17,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,7 +76,13 @@
 	HostID string
 	Domain string
 	Addr   netip.AddrPort // to listen on; peers dial it
-	Seeds  []netip.AddrPort
+	// ForwardAddr is where this host takes requests of other hosts; invalid if it takes
+	// none.
+	ForwardAddr netip.AddrPort
+	Seeds       []netip.AddrPort
+	// OnHosts is called with the other hosts that take requests whenever they have changed;
+	// nil for none.
+	OnHosts func([]ForwardHost)
 	Placer *placement.Placer
 	Log    *zap.Logger
 }
@@ -105,7 +112,7 @@
 func New(cfg Config) *Service {
 	return &Service{
 		cfg:         cfg,
-		self:        &peerspb.Host{Id: cfg.HostID, StartedMs: time.Now().UnixMilli(), Addr: cfg.Addr.String(), Domain: cfg.Domain},
+		self:        newSelf(cfg),
 		hosts:       newHostTable(cfg.Addr, cfg.Domain, cfg.Seeds),
 		relayedBy:   make(map[string]string),
 		relaying:    make(map[string]bool),
@@ -116,6 +123,15 @@
 	}
 }
 
+// newSelf describes this host to others.
+func newSelf(cfg Config) *peerspb.Host {
+	self := &peerspb.Host{Id: cfg.HostID, StartedMs: time.Now().UnixMilli(), Addr: cfg.Addr.String(), Domain: cfg.Domain}
+	if cfg.ForwardAddr.IsValid() {
+		self.ForwardAddr = cfg.ForwardAddr.String()
+	}
+	return self
+}
+
 // Attach sets the quarantine that peers' reports go to and the changes of the store
 // that are served to peers. Call it before Start.
 func (s *Service) Attach(q Quarantine, changeLog ChangeLog) {
@@ -143,8 +159,10 @@
 func (s *Service) maintainLinks(ctx context.Context) {
 	ticker := time.NewTicker(linkCheckInterval)
 	defer ticker.Stop()
+	var forwardHosts []ForwardHost
 	for {
 		s.reconcileLinks(ctx)
+		forwardHosts = s.reportForwardHosts(forwardHosts)
 		s.cfg.Placer.SetPropagationDelay(s.propagationDelay())
 		s.cfg.Placer.SetPeers(s.countedHosts(), s.HostCount())
 		s.cfg.Placer.ExpireRemoteJobs()
@@ -156,6 +174,19 @@
 	}
 }
 
+// reportForwardHosts reports the hosts that take requests if they differ from the last
+// ones, and returns them.
+func (s *Service) reportForwardHosts(last []ForwardHost) []ForwardHost {
+	if s.cfg.OnHosts == nil {
+		return last
+	}
+	current := s.hosts.forwardHosts(time.Now())
+	if !slices.Equal(current, last) {
+		s.cfg.OnHosts(current)
+	}
+	return current
+}
+
 // propagationDelay returns the delay with which the jobs of most peers arrive: hubDelay
 // if this host itself sends through a hub, else directDelay.
 func (s *Service) propagationDelay() time.Duration {
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -133,6 +133,12 @@
 
 func (l *targetLoad) ejected(now time.Time) bool { return now.Before(l.ejectedUntil) }
 
+// clearEjection forgets that attempts got no answer.
+func (l *targetLoad) clearEjection() {
+	l.ejectedUntil, l.ejectionTime, l.unreachableAt = time.Time{}, 0, time.Time{}
+	l.failureRate = 0
+}
+
 // recordResult updates the failure rate and the ejection after an attempt.
 func (l *targetLoad) recordResult(r Result, now time.Time) {
 	failure := 0.0
--- a/internal/placement/reachability.go
+++ b/internal/placement/reachability.go
@@ -13,6 +13,9 @@
 	minFailedTargets = 2
 	// failureWindow is how long a failure counts.
 	failureWindow = 10 * time.Second
+	// unusedTime is the time without a request after which an unreachable service is no
+	// longer probed. The next request tries it again.
+	unusedTime = 10 * time.Second
 )
 
 // ReachabilityChange reports that this host has lost or regained its path to the targets
@@ -24,6 +27,8 @@
 	Since time.Time
 	// FailedTargets is the number of targets without an answer since then.
 	FailedTargets int
+	// StartProbing asks the receiver to probe the service until NeedsProbe returns false.
+	StartProbing bool
 }
 
 // reachability tells from the results of this host's attempts whether it reaches the
@@ -32,6 +37,9 @@
 	failures         map[catalog.TargetKey]time.Time // latest attempts without an answer since the last answer of any target
 	firstFailureAt   time.Time                       // the earliest of these; zero if there are none
 	unreachableSince time.Time                       // zero while the service counts as reachable
+	answeredAt       time.Time                       // latest answer of any target
+	usedAt           time.Time                       // latest request for the service
+	probing          bool                            // the service is being probed
 }
 
 // recordFailure records an attempt that got no answer and reports whether the service
@@ -54,11 +62,17 @@
 
 // recordAnswer records that a target has answered and reports whether the service has
 // become reachable again.
-func (r *reachability) recordAnswer() bool {
+func (r *reachability) recordAnswer(now time.Time) bool {
 	regained := !r.unreachableSince.IsZero()
+	r.answeredAt = now
+	r.reset()
+	return regained
+}
+
+// reset makes the service count as reachable until attempts fail again.
+func (r *reachability) reset() {
 	clear(r.failures)
 	r.firstFailureAt, r.unreachableSince = time.Time{}, time.Time{}
-	return regained
 }
 
 // expire drops old failures while the service counts as reachable.
@@ -91,6 +105,71 @@
 	return count
 }
 
+// Unreachable reports whether this host reaches no target of a service that a request
+// needs.
+func (pl *Placer) Unreachable(service string) bool {
+	now := pl.now()
+	s := pl.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reachability.usedAt = now
+	return !s.reachability.unreachableSince.IsZero()
+}
+
+// AnsweredSince reports whether a target of a service has answered this host since t.
+func (pl *Placer) AnsweredSince(service string, t time.Time) bool {
+	s := pl.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reachability.answeredAt.After(t)
+}
+
+// NeedsProbe reports whether a service is unreachable and in use.
+func (pl *Placer) NeedsProbe(service string) bool {
+	now := pl.now()
+	s := pl.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := &s.reachability
+	if !r.unreachableSince.IsZero() && now.Sub(r.usedAt) > unusedTime {
+		r.reset()
+	}
+	r.probing = !r.unreachableSince.IsZero()
+	return r.probing
+}
+
+// RecordProbe records whether a probe has reached its target.
+func (pl *Placer) RecordProbe(t catalog.Target, reached bool) {
+	if !reached {
+		return
+	}
+	s := pl.shard(t.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pl.recordReachability(s, t.TargetKey, Served, pl.now())
+}
+
+// RecordUnreachable records that a call that belongs to no placement could not be sent to
+// a target.
+func (pl *Placer) RecordUnreachable(t catalog.Target) {
+	now := pl.now()
+	s := pl.shard(t.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load(t.TargetKey).recordResult(Unreachable, now)
+	pl.recordReachability(s, t.TargetKey, Unreachable, now)
+}
+
+// clearEjections makes the targets eligible again that have been ejected as unreachable
+// since a time, so that the first one that answers does not get all requests.
+func (s *shard) clearEjections(since time.Time) {
+	for _, l := range s.loads {
+		if !l.unreachableAt.Before(since) {
+			l.clearEjection()
+		}
+	}
+}
+
 // recordReachability updates the reachability of a service after an attempt of this
 // host. The caller holds the shard's lock.
 func (pl *Placer) recordReachability(s *shard, target catalog.TargetKey, result Result, now time.Time) {
@@ -101,10 +180,13 @@
 			return
 		}
 		change.Since, change.FailedTargets = s.reachability.unreachableSince, len(s.reachability.failures)
+		change.StartProbing = !s.reachability.probing
+		s.reachability.probing = true
 	case Served, Shed, Misdirected:
-		if !s.reachability.recordAnswer() {
+		if !s.reachability.recordAnswer(now) {
 			return
 		}
+		s.clearEjections(change.Since)
 		change.Reachable = true
 	default:
 		return // tells nothing about the path
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -40,6 +40,9 @@
 	if j.quarantined() {
 		return resultRejected, ReasonQuarantined
 	}
+	if j.mustForward() {
+		return j.forward(ctx)
+	}
 	placed, err := j.place()
 	var limited *placement.RateLimitedError
 	switch {
@@ -85,6 +88,11 @@
 	return found && org.Name == j.organisation && j.relay.viewFresh()
 }
 
+// at returns the destination of an attempt that this host has placed.
+func (j *job) at(placed *placement.Placement) destination {
+	return placedAt{Placement: placed, relay: j.relay}
+}
+
 func (j *job) place() (*placement.Placement, error) {
 	targets := j.relay.cfg.Views.View().Targets(j.serviceName)
 	req := j.placementRequest()
@@ -113,7 +121,7 @@
 // first event even with the best placement. The backlog may be shorter when the
 // caller retries later.
 func (j *job) waitTooLong(placed *placement.Placement) bool {
-	if j.route.Kind != catalog.Streaming || j.responseStarted {
+	if j.route.Kind != catalog.Streaming || j.callerHasEvents() {
 		return false
 	}
 	wait := time.Since(j.req.Arrived) + placed.PredictedWait
@@ -149,10 +157,10 @@
 // it is cancelled.
 func (j *job) progressTimeout() time.Duration {
 	left := j.remaining()
-	if j.route.Kind == catalog.Streaming && !j.responseStarted {
+	if j.route.Kind == catalog.Streaming && !j.callerHasEvents() {
 		return left // prefill on a busy engine delays the first event
 	}
-	if !j.route.Repeatable() || j.possibleExecutions+1 >= j.route.MaxAttempts {
+	if !j.route.Repeatable() || j.possibleExecutions+1 >= j.maxExecutions() {
 		return left
 	}
 	if j.route.Kind == catalog.Streaming {
@@ -164,6 +172,7 @@
 func (j *job) send(ctx context.Context, placed *placement.Placement, reservations *reservationSet) (*Response, error) {
 	j.attempts++
 	j.attemptEvents = 0
+	j.attemptStarted = time.Now()
 	j.triedTargets = append(j.triedTargets, placed.Primary.ID)
 	call := Call{
 		Request: j.req, Target: placed.Primary, Organisation: j.organisation, Remaining: j.remaining(),
@@ -198,8 +207,10 @@
 		outcome = "unknown"
 		j.possibleArrivals++
 		j.possibleExecutions++
+	} else {
+		j.recordUnsent(placed.Primary.ID)
 	}
-	j.recordOutcome(outcome, placed, j.brokenAttemptFields(err)...)
+	j.recordOutcome(outcome, j.at(placed), j.brokenAttemptFields(err)...)
 	if ctx.Err() != nil {
 		placed.End(placement.Abandoned)
 		return resultUnknown, ReasonTimeout
@@ -219,23 +230,23 @@
 	switch {
 	case resp.Misdirected:
 		placed.End(placement.Misdirected)
-		j.recordOutcome("misdirected", placed)
+		j.recordOutcome("misdirected", j.at(placed))
 		return resultNotExecuted, ReasonNoTarget
 	case resp.NotExecuted:
 		j.recordRefusal(placed, resp)
-		j.recordOutcome("not_run", placed, zap.Int("status", resp.Status))
+		j.recordOutcome("not_run", j.at(placed), zap.Int("status", resp.Status))
 		return resultNotExecuted, ReasonTargetsBusy
 	}
 	j.possibleExecutions++
 	if !resp.Authentic {
 		placed.End(placement.Failed)
-		j.recordOutcome("not_authentic", placed, zap.Int("status", resp.Status))
+		j.recordOutcome("not_authentic", j.at(placed), zap.Int("status", resp.Status))
 		return resultUnknown, ReasonNoUsableResponse
 	}
 	if resp.Stream && resp.Status == http.StatusOK {
-		return j.relayStream(ctx, placed, resp, watchdog)
+		return j.relayStream(ctx, j.at(placed), resp, watchdog)
 	}
-	return j.relayResponse(ctx, placed, resp)
+	return j.relayResponse(ctx, j.at(placed), resp)
 }
 
 // recordRefusal records a refusal against the engine that caused it, which may be
@@ -254,34 +265,34 @@
 }
 
 // relayResponse relays a response that is not an event stream.
-func (j *job) relayResponse(ctx context.Context, placed *placement.Placement, resp *Response) (attemptResult, Reason) {
+func (j *job) relayResponse(ctx context.Context, dest destination, resp *Response) (attemptResult, Reason) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
-		return j.handleBrokenResponse(ctx, placed, err)
+		return j.handleBrokenResponse(ctx, dest, err)
 	}
 	if j.responseStarted {
-		placed.End(placement.Failed)
+		dest.End(placement.Failed)
 		return resultFailed, ReasonNoUsableResponse
 	}
 	if len(body) > maxBufferedBytes {
-		j.relayLargeResponse(placed, resp, body)
+		j.relayLargeResponse(dest, resp, body)
 		return resultFinal, ""
 	}
 	if resp.Status >= http.StatusInternalServerError {
-		placed.End(placement.Failed)
-		return j.handleFailure(placed, &bufferedResponse{response: resp, body: body})
+		dest.End(placement.Failed)
+		return j.handleFailure(dest, &bufferedResponse{response: resp, body: body})
 	}
-	placed.End(placement.Served)
-	j.relay.parts.RecordAnswer(j.req.SharedParts)
-	j.recordOutcome("done", placed, zap.Int("status", resp.Status))
+	dest.End(placement.Served)
+	j.recordAnswer(dest)
+	j.recordOutcome("done", dest, zap.Int("status", resp.Status))
 	j.writer.WriteResponse(resp.Status, resp.Header, body)
 	return resultFinal, ""
 }
 
 // handleFailure keeps the response of a target that failed. A 503 is not relayed:
 // it would tell the caller that the request was not executed, but it was.
-func (j *job) handleFailure(placed *placement.Placement, failure *bufferedResponse) (attemptResult, Reason) {
-	j.recordOutcome("failed", placed, zap.Int("status", failure.response.Status))
+func (j *job) handleFailure(dest destination, failure *bufferedResponse) (attemptResult, Reason) {
+	j.recordOutcome("failed", dest, zap.Int("status", failure.response.Status))
 	if failure.response.Status != http.StatusServiceUnavailable {
 		j.lastFailure = failure
 	}
@@ -290,7 +301,7 @@
 
 // relayLargeResponse streams a response above maxBufferedBytes to the caller as
 // it arrives, beginning with the prefix already read.
-func (j *job) relayLargeResponse(placed *placement.Placement, resp *Response, prefix []byte) {
+func (j *job) relayLargeResponse(dest destination, resp *Response, prefix []byte) {
 	j.responseStarted = true
 	j.writer.WriteHeader(resp.Status, resp.Header)
 	err := j.writer.WriteChunk(prefix)
@@ -304,24 +315,26 @@
 			}
 		}
 	}
-	placed.End(placement.Served)
+	dest.End(placement.Served)
 	if !errors.Is(err, io.EOF) {
-		j.recordOutcome("broken", placed, zap.Error(err))
+		j.recordOutcome("broken", dest, zap.Error(err))
 		j.writer.Abort()
 		return
 	}
-	j.recordOutcome("done", placed, zap.Int("status", resp.Status))
+	j.recordOutcome("done", dest, zap.Int("status", resp.Status))
 }
 
 // handleBrokenResponse handles a response that ended prematurely.
-func (j *job) handleBrokenResponse(ctx context.Context, placed *placement.Placement, err error) (attemptResult, Reason) {
-	j.recordOutcome("broken", placed, j.brokenAttemptFields(err)...)
+func (j *job) handleBrokenResponse(ctx context.Context, dest destination, err error) (attemptResult, Reason) {
+	j.recordOutcome("broken", dest, j.brokenAttemptFields(err)...)
 	if ctx.Err() != nil {
-		placed.End(placement.Abandoned)
+		dest.End(placement.Abandoned)
 		return resultUnknown, ReasonTimeout
 	}
-	placed.End(placement.Failed)
-	j.recordCrash(placed.Primary.TargetKey)
+	dest.End(placement.Failed)
+	if target, ok := dest.target(); ok {
+		j.recordCrash(target)
+	}
 	return resultUnknown, ReasonNoUsableResponse
 }
 
@@ -331,8 +344,8 @@
 	return []zap.Field{zap.Error(err), zap.Int("events", j.attemptEvents), zap.Strings("shared_parts", j.req.SharedParts)}
 }
 
-func (j *job) recordOutcome(outcome string, placed *placement.Placement, fields ...zap.Field) {
-	j.relay.cfg.Observer.AttemptEnded(j.serviceName, outcome)
-	fields = append(fields, zap.String("outcome", outcome), zap.String("target", placed.Primary.ID))
-	j.log("attempt ended", fields...)
+func (j *job) recordOutcome(outcome string, dest destination, fields ...zap.Field) {
+	dest.recordOutcome(j.serviceName, outcome)
+	fields = append(fields, zap.String("outcome", outcome))
+	j.log("attempt ended", append(fields, dest.fields()...)...)
 }
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -143,6 +143,14 @@
 	j.relay.cfg.Peers.Crashed(c)
 }
 
+// recordAnswer records that the request's prompt has been answered. The host that made
+// the attempt counts the answer.
+func (j *job) recordAnswer(dest destination) {
+	if _, ok := dest.target(); ok {
+		j.relay.parts.RecordAnswer(j.req.SharedParts)
+	}
+}
+
 // quarantined reports whether the request, or a part of its prompt, has crashed too many
 // targets.
 func (j *job) quarantined() bool {
--- a/internal/relay/fleet_links_test.go
+++ b/internal/relay/fleet_links_test.go
@@ -78,6 +78,19 @@
 	return nil
 }
 
+// probe returns an error if no new connection can be opened.
+func (l *targetLinks) probe(ctx context.Context, service string) error {
+	fault, _ := l.get(service)
+	switch fault {
+	case linkUp:
+		return nil
+	case linkSilent:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return errConnectionReset
+}
+
 // await waits for a target's next bytes, which take d. It returns an error if the link
 // fails or ctx ends before they have arrived.
 func (l *targetLinks) await(ctx context.Context, service string, d time.Duration) error {
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/forward"
 	"github.com/plantainrun/plantainrun/internal/placement"
 	"github.com/plantainrun/plantainrun/internal/quarantine"
 	"github.com/plantainrun/plantainrun/internal/relay"
@@ -51,6 +52,8 @@
 	placer *placement.Placer
 	views  *staticView
 	links  *targetLinks
+	server *forward.RequestServer
+	domain string
 
 	sendMu sync.Mutex
 	unsent []func(peer *fleetHost) // updates on their way, oldest first
@@ -74,7 +77,7 @@
 // join adds a host that learns of the jobs in progress from the others.
 func (f *fleet) join() *fleetHost {
 	f.mu.Lock()
-	h := &fleetHost{fleet: f, id: fmt.Sprint("host-", len(f.hosts)), disturbedAt: time.Now(), links: newTargetLinks()}
+	h := &fleetHost{fleet: f, id: fmt.Sprint("host-", len(f.hosts)), disturbedAt: time.Now(), links: newTargetLinks(), domain: fmt.Sprint("domain-", len(f.hosts)%3)}
 	h.views = newStaticView(f.source)
 	h.placer = placement.NewPlacer(time.Now, uint64(len(f.hosts)))
 	h.placer.SetPropagationDelay(updateDelay)
@@ -82,8 +85,10 @@
 	h.relay = relay.New(relay.Config{
 		Views: h.views, Placer: h.placer, Transport: &fleetTransport{host: h}, RetryBudget: unlimitedRetries{},
 		Observer: noopObserver{}, Peers: h, Log: zap.NewNop(), HostID: h.id,
-		Settings: relay.Settings{ReservationLease: reservationLease},
+		Forwarder: forward.NewRequestForwarder(forward.HostInfo{ID: h.id, Domain: h.domain}, h.open, h.otherHosts, zap.NewNop()),
+		Settings:  relay.Settings{ReservationLease: reservationLease},
 	})
+	h.server = forward.NewRequestServer(h.relay, func() bool { return false })
 	f.hosts = append(f.hosts, h)
 	f.mu.Unlock()
 	f.resync()
@@ -390,7 +395,7 @@
 	if e := targets.engine(id); e != nil {
 		return e.answer(call)
 	}
-	resp := &relay.Response{Status: http.StatusOK, Header: http.Header{}, Authentic: true, RateLimit: limit, Body: io.NopCloser(strings.NewReader("done"))}
+	resp := &relay.Response{Status: http.StatusOK, Header: http.Header{"Content-Type": {contentType(call.Request.URI)}}, Authentic: true, RateLimit: limit, Body: io.NopCloser(strings.NewReader("done"))}
 	if strings.HasPrefix(call.Request.URI, "/chat/") {
 		resp.Stream = true
 		resp.Body = tr.stream(ctx, call)
@@ -398,6 +403,17 @@
 	return resp, nil
 }
 
+func contentType(uri string) string {
+	if strings.HasPrefix(uri, "/chat/") {
+		return "text/event-stream"
+	}
+	return "text/plain"
+}
+
+func (tr *fleetTransport) Probe(ctx context.Context, target catalog.Target) error {
+	return tr.host.links.probe(ctx, target.Service)
+}
+
 func (tr *fleetTransport) Reserve(context.Context, catalog.Target, string, int, time.Duration) error {
 	return nil
 }
--- /dev/null
+++ b/internal/relay/forward.go
@@ -0,0 +1,257 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/placement"
+)
+
+const (
+	// maxUnsentTargets is the number of targets to which a request could not be sent from
+	// which it is forwarded, although the service counts as reachable.
+	maxUnsentTargets = 2
+	// slowFailure is the duration of an attempt that was not sent from which the request
+	// is forwarded at once, if no target has answered meanwhile.
+	slowFailure = 300 * time.Millisecond
+	// probeInterval is the mean time between two probes of an unreachable service.
+	probeInterval = 500 * time.Millisecond
+	// probeTimeout limits one probe of a target.
+	probeTimeout = 500 * time.Millisecond
+)
+
+// ErrNoHost means that no other host could take a request. It was not sent.
+var ErrNoHost = errors.New("no other host can take the request; try again later")
+
+// Forwarder passes requests to other hosts, which may reach targets that this one does
+// not.
+type Forwarder interface {
+	// Forward asks another host to make one attempt at a request. The error is ErrNoHost
+	// if no host took it, and a *SendError if the host that took it was lost.
+	Forward(ctx context.Context, call ForwardCall) (*Forwarded, error)
+}
+
+// ForwardCall is a request to forward.
+type ForwardCall struct {
+	Request *Request
+	Origin
+	// LastEventID is the id of the last event that the caller has received, empty for
+	// none.
+	LastEventID string
+}
+
+// Origin describes a forwarded request as the host that got it from the caller had it.
+type Origin struct {
+	Host          string // set by the Forwarder
+	Service       string
+	ConfigVersion int64
+	TriedTargets  []string // ids of targets that it may have reached
+	Resumes       bool     // the caller has part of the response
+}
+
+// Forwarded is the outcome at the host that took a request. Either Refusal or Response is
+// set. The caller of Forward closes the response's body.
+type Forwarded struct {
+	Host     string
+	Refusal  *Refusal
+	Response *Response
+}
+
+// mustForward reports whether the request is better served by another host: no target of
+// the service answers this one, or no attempt at this request could be sent.
+func (j *job) mustForward() bool {
+	switch {
+	case j.relay.cfg.Forwarder == nil, j.noHostTakesIt:
+		return false
+	case j.relay.cfg.Placer.Unreachable(j.serviceName), len(j.unsentTargets) >= maxUnsentTargets:
+		return true
+	}
+	slow := len(j.unsentTargets) > 0 && time.Since(j.attemptStarted) >= slowFailure
+	return slow && !j.relay.cfg.Placer.AnsweredSince(j.serviceName, j.attemptStarted)
+}
+
+// reachabilityChanged logs that this host has lost or regained its path to a service. It
+// probes a lost one until it is regained.
+func (r *Relay) reachabilityChanged(c placement.ReachabilityChange) {
+	message := "service unreachable from this host"
+	if c.Reachable {
+		message = "service reachable again"
+	}
+	r.cfg.Log.Warn(message, zap.String("service", c.Service), zap.Duration("for", time.Since(c.Since)), zap.Int("failed_targets", c.FailedTargets))
+	if c.StartProbing {
+		r.scheduleProbe(c.Service)
+	}
+}
+
+// scheduleProbe probes the targets of a service, one at a time, while it is unreachable and
+// in use. The times are random, so that hosts that were cut off together do not probe
+// together.
+func (r *Relay) scheduleProbe(service string) {
+	time.AfterFunc(probeInterval/2+rand.N(probeInterval), func() {
+		if !r.cfg.Placer.NeedsProbe(service) {
+			return
+		}
+		if targets := r.cfg.Views.View().Targets(service); len(targets) > 0 {
+			r.probe(targets[rand.IntN(len(targets))])
+		}
+		r.scheduleProbe(service)
+	})
+}
+
+// probe tests whether a target can be reached, and records the result.
+func (r *Relay) probe(target catalog.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	err := r.cfg.Transport.Probe(ctx, target)
+	r.cfg.Log.Info("probe of an unreachable service", zap.String("service", target.Service), zap.String("target", target.ID), zap.Bool("reached", err == nil), zap.Error(err))
+	r.cfg.Placer.RecordProbe(target, err == nil)
+}
+
+// forward passes the request to another host. A request that another host has forwarded
+// goes no further.
+func (j *job) forward(ctx context.Context) (attemptResult, Reason) {
+	if j.req.Origin != nil {
+		return resultRejected, ReasonUnreachable
+	}
+	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := newWatchdog(cancel, j.progressTimeout())
+	defer watchdog.stop()
+	j.attemptEvents = 0
+	out, err := j.relay.cfg.Forwarder.Forward(sendCtx, j.forwardCall())
+	switch {
+	case errors.Is(err, ErrNoHost):
+		return j.handleNoHost()
+	case err != nil:
+		return j.handleForwardLost(ctx, err)
+	case out.Refusal != nil:
+		return j.handleForwardRefusal(out)
+	}
+	defer out.Response.Body.Close()
+	j.attempts++
+	j.possibleArrivals++
+	j.possibleExecutions++
+	host := forwardedTo{relay: j.relay, host: out.Host}
+	if out.Response.Stream && out.Response.Status == http.StatusOK {
+		return j.relayStream(ctx, host, out.Response, watchdog)
+	}
+	return j.relayResponse(ctx, host, out.Response)
+}
+
+func (j *job) forwardCall() ForwardCall {
+	call := ForwardCall{Request: j.req, LastEventID: j.req.LastEventID, Origin: Origin{
+		Service: j.serviceName, ConfigVersion: j.relay.cfg.Views.View().Config.Version, TriedTargets: j.reachedTargets(), Resumes: j.responseStarted,
+	}}
+	if j.responseStarted {
+		call.LastEventID = j.seq.lastEventID()
+	}
+	return call
+}
+
+// reachedTargets returns the targets that the request may have reached. Another host may
+// reach the others.
+func (j *job) reachedTargets() []string {
+	var out []string
+	for _, target := range j.triedTargets {
+		if !slices.Contains(j.unsentTargets, target) {
+			out = append(out, target)
+		}
+	}
+	return out
+}
+
+// recordUnsent records that the request could not be sent to a target.
+func (j *job) recordUnsent(target string) { j.unsentTargets = append(j.unsentTargets, target) }
+
+// handleNoHost refuses the request if the service is unreachable, and otherwise lets it
+// try other targets.
+func (j *job) handleNoHost() (attemptResult, Reason) {
+	j.noHostTakesIt = true
+	j.relay.cfg.Observer.Forwarded(string(ReasonUnreachable))
+	j.log("no host to forward to")
+	if j.relay.cfg.Placer.Unreachable(j.serviceName) {
+		return resultRejected, ReasonUnreachable
+	}
+	return resultPostponed, ReasonNoTarget
+}
+
+// handleForwardLost handles the loss of the host that took the request, which may have
+// executed it.
+func (j *job) handleForwardLost(ctx context.Context, err error) (attemptResult, Reason) {
+	j.attempts++
+	j.possibleArrivals++
+	j.possibleExecutions++
+	j.recordOutcome("unknown", forwardedTo{relay: j.relay}, zap.Error(err))
+	if ctx.Err() != nil {
+		return resultUnknown, ReasonTimeout
+	}
+	return resultUnknown, ReasonNoUsableResponse
+}
+
+// handleForwardRefusal handles a refusal by the host that took the request.
+func (j *job) handleForwardRefusal(out *Forwarded) (attemptResult, Reason) {
+	j.attempts++
+	j.recordOutcome("refused", forwardedTo{relay: j.relay, host: out.Host}, zap.String("reason", string(out.Refusal.Reason)), zap.Int("status", out.Refusal.Status))
+	if out.Refusal.mayHaveExecuted() {
+		j.possibleArrivals++
+		j.possibleExecutions++
+		return resultUnknown, out.Refusal.Reason
+	}
+	j.refusal = out.Refusal
+	return resultRejected, out.Refusal.Reason
+}
+
+// destination is where an attempt was sent.
+type destination interface {
+	// FirstEvent records the first event of the response.
+	FirstEvent()
+	// End records the result of the attempt.
+	End(placement.Result)
+	// target returns the target, or false if another host chose it.
+	target() (catalog.TargetKey, bool)
+	// fields describes the destination in logs.
+	fields() []zap.Field
+	// recordOutcome counts the outcome of the attempt.
+	recordOutcome(service, outcome string)
+}
+
+// placedAt is a destination that this host has chosen.
+type placedAt struct {
+	*placement.Placement
+	relay *Relay
+}
+
+func (p placedAt) target() (catalog.TargetKey, bool) { return p.Primary.TargetKey, true }
+
+func (p placedAt) fields() []zap.Field {
+	return []zap.Field{zap.String("target", p.Primary.ID), zap.Duration("predicted_wait", p.PredictedWait)}
+}
+
+func (p placedAt) recordOutcome(service, outcome string) {
+	p.relay.cfg.Observer.AttemptEnded(service, outcome)
+}
+
+// forwardedTo is another host, which accounts for the attempt itself.
+type forwardedTo struct {
+	relay *Relay
+	host  string
+}
+
+// FirstEvent does nothing.
+func (forwardedTo) FirstEvent() {}
+
+// End does nothing.
+func (forwardedTo) End(placement.Result) {}
+
+func (forwardedTo) target() (catalog.TargetKey, bool) { return catalog.TargetKey{}, false }
+
+func (f forwardedTo) fields() []zap.Field { return []zap.Field{zap.String("forwarded_to", f.host)} }
+
+func (f forwardedTo) recordOutcome(_, outcome string) { f.relay.cfg.Observer.Forwarded(outcome) }
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -223,6 +223,8 @@
 	return nil
 }
 
+func (tr *fakeTransport) Probe(context.Context, catalog.Target) error { return nil }
+
 func (tr *fakeTransport) reservationCount() int {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -271,6 +273,7 @@
 
 func (noopObserver) Refused(relay.Reason)                       {}
 func (noopObserver) AttemptEnded(string, string)                {}
+func (noopObserver) Forwarded(string)                           {}
 func (noopObserver) FirstEvent(string, time.Duration)           {}
 func (noopObserver) Finished(string, time.Duration)             {}
 func (noopObserver) AddActive(int)                              {}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,11 +41,15 @@
 	authenticated bool
 	deadline      time.Time
 
-	attempts           int      // all attempts, including those not executed
-	possibleArrivals   int      // attempts that may have reached a target
-	possibleExecutions int      // attempts that the target may have executed
-	triedTargets       []string // ids of targets that placement excludes
-	reserveFailed      bool     // the memory of a placement could not be reserved
+	attempts           int       // all attempts, including those not executed
+	possibleArrivals   int       // attempts that may have reached a target
+	possibleExecutions int       // attempts that the target may have executed
+	triedTargets       []string  // ids of targets that placement excludes
+	unsentTargets      []string  // ids of those to which the request could not be sent
+	attemptStarted     time.Time // of the latest attempt at a target of this host's choice
+	noHostTakesIt      bool      // no other host could take the request
+	refusal            *Refusal  // by the host to which the request was forwarded
+	reserveFailed      bool      // the memory of a placement could not be reserved
 	// reserveCalls counts the calls of reserve. It is part of the reservation
 	// id, so that a delayed release cannot end a newer reservation.
 	reserveCalls    int
@@ -67,7 +72,7 @@
 // selectService picks one of the route's backends. A service that is not
 // configured gets an empty definition.
 func (j *job) selectService(view *follow.View) {
-	j.serviceName = pickBackend(j.route.Backends)
+	j.serviceName = j.pickService()
 	if s, ok := view.Config.Service(j.serviceName); ok {
 		j.service = s
 		return
@@ -75,6 +80,15 @@
 	j.service = &catalog.Service{Name: j.serviceName}
 }
 
+// pickService returns the backend that the host that forwarded the request has picked, if
+// the route has it here, or picks one.
+func (j *job) pickService() string {
+	if o := j.req.Origin; o != nil && slices.ContainsFunc(j.route.Backends, func(b catalog.Backend) bool { return b.Service == o.Service }) {
+		return o.Service
+	}
+	return pickBackend(j.route.Backends)
+}
+
 // timeout returns the longest time from arrival to the end of the response.
 func (j *job) timeout() time.Duration {
 	timeout := defaultTimeout
@@ -103,7 +117,9 @@
 
 // run makes attempts until the response is complete or no retry is allowed.
 func (j *job) run(ctx context.Context) {
-	j.relay.cfg.RetryBudget.RecordFirstAttempt(j.serviceName)
+	if j.req.Origin == nil {
+		j.relay.cfg.RetryBudget.RecordFirstAttempt(j.serviceName)
+	}
 	j.seq.resumeAfter(j.req.LastEventID)
 	defer func() { j.relay.cfg.Observer.Finished(j.route.Name, time.Since(j.req.Arrived)) }()
 	reason := ReasonTargetsBusy
@@ -131,7 +147,7 @@
 		return true
 	case result != resultNotExecuted && !j.route.Repeatable():
 		return false
-	case j.possibleExecutions >= max(j.route.MaxAttempts, 1):
+	case j.possibleExecutions >= j.maxExecutions():
 		return false
 	case j.attempts >= max(j.route.MaxAttempts, 1)+extraAttempts:
 		return false
@@ -145,6 +161,27 @@
 	return false
 }
 
+// maxExecutions is the number of attempts that may execute the request. The host that
+// forwards a request decides whether another one is made.
+func (j *job) maxExecutions() int {
+	if j.req.Origin != nil {
+		return 1
+	}
+	return max(j.route.MaxAttempts, 1)
+}
+
+// adoptOrigin takes over what the host that forwarded the request has decided.
+func (j *job) adoptOrigin() {
+	if j.req.Origin != nil {
+		j.triedTargets = slices.Clone(j.req.Origin.TriedTargets)
+	}
+}
+
+// callerHasEvents reports whether the caller has received part of the response.
+func (j *job) callerHasEvents() bool {
+	return j.responseStarted || (j.req.Origin != nil && j.req.Origin.Resumes)
+}
+
 // giveUp ends a request that no target served: it relays the latest failure,
 // refuses the request or aborts a response that has been started.
 func (j *job) giveUp(ctx context.Context, reason Reason) {
@@ -161,6 +198,8 @@
 		j.relay.refuse(j.req, j.writer, NewRefusal(ReasonTimeout))
 	case j.possibleExecutions > 0:
 		j.relay.refuse(j.req, j.writer, NewRefusal(ReasonNoUsableResponse))
+	case j.refusal != nil:
+		j.relay.refuse(j.req, j.writer, *j.refusal)
 	default:
 		j.relay.refuse(j.req, j.writer, NewRefusal(reason).after(j.retryAfter))
 	}
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -113,9 +113,15 @@
 	if err == nil {
 		return
 	}
-	if errors.Is(err, ErrNoMemory) {
+	var sendErr *SendError
+	switch {
+	case errors.Is(err, ErrNoMemory):
 		j.relay.cfg.Placer.RecordNoMemory(l.part.Target)
-	} else {
+	case errors.As(err, &sendErr) && !sendErr.MaybeSent:
+		j.relay.cfg.Placer.RecordUnreachable(l.part.Target)
+		j.recordUnsent(l.part.Target.ID)
+		j.triedTargets = append(j.triedTargets, l.part.Target.ID)
+	default:
 		j.triedTargets = append(j.triedTargets, l.part.Target.ID)
 	}
 	j.log("memory not reserved", zap.String("target", l.part.Target.ID), zap.Int("tokens", l.part.Tokens), zap.Error(err))
--- a/internal/relay/ratelimit.go
+++ b/internal/relay/ratelimit.go
@@ -19,7 +19,7 @@
 // objective passes before is refused, unless the caller has part of the answer already.
 func (j *job) waitForRateLimit(ctx context.Context, limited *placement.RateLimitedError) (attemptResult, Reason) {
 	wait := limited.RetryAfter + rand.N(rateLimitJitter)
-	if !j.responseStarted && time.Now().Add(wait).After(j.req.Arrived.Add(j.route.Objective)) {
+	if !j.callerHasEvents() && time.Now().Add(wait).After(j.req.Arrived.Add(j.route.Objective)) {
 		j.retryAfter = wait
 		return resultRejected, ReasonRateLimited
 	}
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -21,6 +21,9 @@
 	ReasonNoRoute           Reason = "no_route"     // not executed: no route matches
 	ReasonConfigUnconfirmed Reason = "unconfirmed"  // not executed: the configuration is missing or its confirmation is too old
 	ReasonNoTarget          Reason = "no_target"    // not executed: no usable target
+	ReasonUnreachable       Reason = "unreachable"  // not executed: this host reaches no target, and no other host takes the request
+	ReasonOverloaded        Reason = "overloaded"   // not executed: this host takes no more requests of others for now
+	ReasonDraining          Reason = "draining"     // not executed: this host takes no requests of others any more
 	ReasonTargetsBusy       Reason = "busy"         // not executed: every target tried was at capacity
 	ReasonRateLimited       Reason = "rate_limited" // not executed: every target is at the rate limit that it names
 	ReasonInfeasible        Reason = "hopeless"     // not executed: it exceeds the engines' capacity or the predicted wait is too long
@@ -50,6 +53,9 @@
 	ReasonNoUsableResponse:  http.StatusBadGateway,
 	ReasonConfigUnconfirmed: http.StatusServiceUnavailable,
 	ReasonNoTarget:          http.StatusServiceUnavailable,
+	ReasonUnreachable:       http.StatusServiceUnavailable,
+	ReasonOverloaded:        http.StatusServiceUnavailable,
+	ReasonDraining:          http.StatusServiceUnavailable,
 	ReasonTargetsBusy:       http.StatusServiceUnavailable,
 	ReasonRateLimited:       http.StatusServiceUnavailable,
 	ReasonInfeasible:        http.StatusServiceUnavailable,
@@ -62,6 +68,9 @@
 var retryAfterByReason = map[Reason]time.Duration{
 	ReasonConfigUnconfirmed: 50 * time.Millisecond, // another host may have a confirmed configuration
 	ReasonNoTarget:          400 * time.Millisecond,
+	ReasonUnreachable:       300 * time.Millisecond, // another host may reach the targets
+	ReasonOverloaded:        300 * time.Millisecond,
+	ReasonDraining:          50 * time.Millisecond,
 	ReasonTargetsBusy:       300 * time.Millisecond,
 	ReasonNoMemory:          700 * time.Millisecond,
 	ReasonRateLimited:       300 * time.Millisecond,
@@ -69,6 +78,21 @@
 	ReasonQuarantined:       5 * time.Second,
 }
 
+// mayHaveExecuted reports whether the request may have been executed.
+func (r Refusal) mayHaveExecuted() bool {
+	return r.Status == http.StatusBadGateway || r.Status == http.StatusGatewayTimeout
+}
+
+// OnlyHere reports whether a host refuses a request for a reason that need not hold at
+// another host.
+func (r Reason) OnlyHere() bool {
+	switch r {
+	case ReasonConfigUnconfirmed, ReasonUnreachable, ReasonOverloaded, ReasonDraining:
+		return true
+	}
+	return false
+}
+
 // after returns the refusal with a retry delay of at least d.
 func (r Refusal) after(d time.Duration) Refusal {
 	r.RetryAfter = max(r.RetryAfter, d)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,8 +51,11 @@
 	RetryBudget RetryBudget
 	Observer    Observer
 	Peers       Peers
-	Log         *zap.Logger
-	Settings    Settings
+	// Forwarder passes requests to other hosts while this one does not reach the
+	// targets; nil for none.
+	Forwarder Forwarder
+	Log       *zap.Logger
+	Settings  Settings
 	// HostID is the prefix that makes reservation ids unique across hosts.
 	HostID string
 }
@@ -74,6 +77,8 @@
 type Observer interface {
 	Refused(reason Reason)
 	AttemptEnded(service, outcome string)
+	// Forwarded counts a request passed to another host, by its outcome.
+	Forwarded(outcome string)
 	FirstEvent(route string, took time.Duration)
 	Finished(route string, took time.Duration)
 	AddActive(delta int)
@@ -96,19 +101,10 @@
 		Now: time.Now, Report: cfg.Peers.AnswersReceived, HostCount: cfg.Peers.HostCount, Log: cfg.Log,
 	})
 	r.SetSettings(cfg.Settings)
-	cfg.Placer.OnReachabilityChanged(r.logReachability)
+	cfg.Placer.OnReachabilityChanged(r.reachabilityChanged)
 	return r
 }
 
-// logReachability logs that this host has lost or regained its path to a service.
-func (r *Relay) logReachability(c placement.ReachabilityChange) {
-	message := "service unreachable from this host"
-	if c.Reachable {
-		message = "service reachable again"
-	}
-	r.cfg.Log.Warn(message, zap.String("service", c.Service), zap.Duration("for", time.Since(c.Since)), zap.Int("failed_targets", c.FailedTargets))
-}
-
 // SetSettings replaces the settings. Reservations that are already held are
 // renewed with the old lease duration.
 func (r *Relay) SetSettings(s Settings) { r.settings.Store(&s) }
@@ -129,6 +125,9 @@
 		r.active.Add(-1)
 		r.cfg.Observer.AddActive(-1)
 	}()
+	if req.Origin != nil {
+		r.cfg.Log.Info("request of another host", zap.String("request", req.ID), zap.String("origin", req.Origin.Host), zap.Duration("elapsed", time.Since(req.Arrived)))
+	}
 	j, reason := r.admit(req)
 	if reason != "" {
 		r.refuse(req, writer, NewRefusal(reason))
@@ -143,7 +142,7 @@
 // admit validates a request against the current configuration.
 func (r *Relay) admit(req *Request) (*job, Reason) {
 	view := r.cfg.Views.View()
-	if view.Config == nil {
+	if view.Config == nil || view.Config.Version < req.minConfigVersion() {
 		return nil, ReasonConfigUnconfirmed
 	}
 	fresh := r.viewFresh()
@@ -167,6 +166,7 @@
 		return nil, ReasonBodyTooLarge
 	}
 	j.selectService(view)
+	j.adoptOrigin()
 	j.deadline = req.Arrived.Add(j.timeout())
 	if !time.Now().Before(j.deadline) {
 		return nil, ReasonExpired
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -34,6 +34,17 @@
 	MaxOutputTokens      int      // 0 if not given
 	ExpectedOutputTokens int      // 0 if not given
 	LastEventID          string
+	// Origin is set if another host has forwarded the request.
+	Origin *Origin
+}
+
+// minConfigVersion is the version of the configuration that is needed to judge the
+// request: a host with an older one may lack its route or key.
+func (r *Request) minConfigVersion() int64 {
+	if r.Origin == nil {
+		return 0
+	}
+	return r.Origin.ConfigVersion
 }
 
 // Call is one attempt to send a request to a target.
@@ -110,10 +121,12 @@
 	Send(ctx context.Context, call Call) (*Response, error)
 	// Reserve reserves engine memory or renews a reservation. The lease starts
 	// when the call arrives at the engine. The error is ErrNoMemory if there is
-	// not enough free memory.
+	// not enough free memory, and a *SendError if the call may not have arrived.
 	Reserve(ctx context.Context, target catalog.Target, id string, tokens int, lease time.Duration) error
 	// Release releases a reservation.
 	Release(ctx context.Context, target catalog.Target, id string) error
+	// Probe opens a connection to a target and closes it.
+	Probe(ctx context.Context, target catalog.Target) error
 }
 
 // ResponseWriter writes the response to the caller. Its methods are called by a
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -17,30 +17,30 @@
 const stallTimeoutFraction = 0.9
 
 // relayStream relays the events of one attempt to the caller.
-func (j *job) relayStream(ctx context.Context, placed *placement.Placement, resp *Response, watchdog *watchdog) (attemptResult, Reason) {
+func (j *job) relayStream(ctx context.Context, dest destination, resp *Response, watchdog *watchdog) (attemptResult, Reason) {
 	events := newEventReader(resp.Body)
 	first := true
 	lastEventAt := time.Now()
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return j.finishStream(placed, resp), ""
+			return j.finishStream(dest, resp), ""
 		}
 		if err == nil {
 			err = j.relayEvent(resp, ev)
 			watchdog.reset(j.progressTimeout())
 		}
 		if err != nil {
-			return j.handleBrokenResponse(ctx, placed, err)
+			return j.handleBrokenResponse(ctx, dest, err)
 		}
 		if j.attemptEvents++; j.attemptEvents == clearingEvents {
-			j.relay.parts.RecordAnswer(j.req.SharedParts)
+			j.recordAnswer(dest)
 		}
 		now := time.Now()
 		if first {
 			first = false
-			placed.FirstEvent()
-			j.recordFirstEvent(placed)
+			dest.FirstEvent()
+			j.recordFirstEvent(dest)
 		} else {
 			j.longestEventGap = max(j.longestEventGap, now.Sub(lastEventAt))
 		}
@@ -61,22 +61,22 @@
 	return j.writer.WriteChunk(ev.raw)
 }
 
-func (j *job) recordFirstEvent(placed *placement.Placement) {
+func (j *job) recordFirstEvent(dest destination) {
 	took := time.Since(j.req.Arrived)
 	j.relay.cfg.Observer.FirstEvent(j.route.Name, took)
-	j.log("first event", zap.String("target", placed.Primary.ID), zap.Duration("predicted_wait", placed.PredictedWait))
+	j.log("first event", dest.fields()...)
 }
 
-func (j *job) finishStream(placed *placement.Placement, resp *Response) attemptResult {
+func (j *job) finishStream(dest destination, resp *Response) attemptResult {
 	if !j.responseStarted {
 		j.responseStarted = true
 		j.writer.WriteHeader(resp.Status, resp.Header)
 	}
 	if j.attemptEvents < clearingEvents {
-		j.relay.parts.RecordAnswer(j.req.SharedParts)
+		j.recordAnswer(dest)
 	}
-	placed.End(placement.Served)
-	j.recordOutcome("done", placed, zap.String("last_event", j.seq.lastEventID()), zap.Duration("longest_pause", j.longestEventGap))
+	dest.End(placement.Served)
+	j.recordOutcome("done", dest, zap.String("last_event", j.seq.lastEventID()), zap.Duration("longest_pause", j.longestEventGap))
 	return resultFinal
 }
 
