--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -83,8 +83,8 @@
 	// OnHosts is called with the other hosts that take requests whenever they have changed;
 	// nil for none.
 	OnHosts func([]ForwardHost)
-	Placer *placement.Placer
-	Log    *zap.Logger
+	Placer  *placement.Placer
+	Log     *zap.Logger
 }
 
 // Service exchanges jobs, crashes and changes of the store with other hosts. It
--- a/internal/relay/cutoff_test.go
+++ b/internal/relay/cutoff_test.go
@@ -32,7 +32,8 @@
 	host     *fleetHost
 	request  relay.Request
 	at       time.Time
-	took     time.Duration
+	took     time.Duration // frozen included
+	frozen   time.Duration // that the host was not awake when the request came
 	response *recordedResponse
 }
 
@@ -75,6 +76,7 @@
 		try.request.ID = fmt.Sprint("request-", i)
 		tries = append(tries, try)
 		group.Go(func() {
+			try.frozen = try.host.frozenFor()
 			try.response = try.host.serve(try.request)
 			try.took = time.Since(try.at)
 		})
--- a/internal/relay/fleet_forward_test.go
+++ b/internal/relay/fleet_forward_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -77,10 +78,11 @@
 }
 
 // fakeStream is one end of a stream between two hosts. Messages arrive in order after
-// hostDelay. While the hosts do not reach each other none arrives, and the ends fail after
-// hostTimeout.
+// hostDelay. Once one was sent while the hosts did not reach each other, none arrives any
+// more, and the ends fail after hostTimeout.
 type fakeStream struct {
 	reaches func() bool
+	broken  *atomic.Bool
 	in, out chan []byte // nil for the end of messages
 	closed  chan struct{}
 	peer    *fakeStream
@@ -88,8 +90,9 @@
 }
 
 func newStreamPair(reaches func() bool) (a, b *fakeStream) {
-	a = &fakeStream{reaches: reaches, in: make(chan []byte, 1024), closed: make(chan struct{})}
-	b = &fakeStream{reaches: reaches, in: make(chan []byte, 1024), closed: make(chan struct{}), peer: a}
+	broken := &atomic.Bool{}
+	a = &fakeStream{reaches: reaches, broken: broken, in: make(chan []byte, 1024), closed: make(chan struct{})}
+	b = &fakeStream{reaches: reaches, broken: broken, in: make(chan []byte, 1024), closed: make(chan struct{}), peer: a}
 	a.peer = b
 	a.out, b.out = b.in, a.in
 	return a, b
@@ -114,6 +117,9 @@
 	default:
 	}
 	if !s.reaches() {
+		s.broken.Store(true)
+	}
+	if s.broken.Load() {
 		return nil // lost on the way
 	}
 	s.out <- data
@@ -139,7 +145,7 @@
 				return errHostLost
 			}
 		case <-timeout.C:
-			if !s.reaches() {
+			if s.broken.Load() || !s.reaches() {
 				return errHostLost
 			}
 		}
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -39,6 +39,8 @@
 	targets *fleetTargets
 	source  *fakeSource
 	random  *rand.Rand
+	// budget returns the retry budget of a new host.
+	budget func() relay.RetryBudget
 
 	mu    sync.Mutex
 	hosts []*fleetHost
@@ -67,7 +69,11 @@
 }
 
 func newFleet(size int, source *fakeSource, targets *fleetTargets) *fleet {
-	f := &fleet{source: source, targets: targets, random: rand.New(rand.NewPCG(1, uint64(size)))}
+	return newFleetWithBudget(size, source, targets, func() relay.RetryBudget { return unlimitedRetries{} })
+}
+
+func newFleetWithBudget(size int, source *fakeSource, targets *fleetTargets, budget func() relay.RetryBudget) *fleet {
+	f := &fleet{source: source, targets: targets, random: rand.New(rand.NewPCG(1, uint64(size))), budget: budget}
 	for range size {
 		f.join()
 	}
@@ -83,7 +89,7 @@
 	h.placer.SetPropagationDelay(updateDelay)
 	h.placer.SetObserver(h)
 	h.relay = relay.New(relay.Config{
-		Views: h.views, Placer: h.placer, Transport: &fleetTransport{host: h}, RetryBudget: unlimitedRetries{},
+		Views: h.views, Placer: h.placer, Transport: &fleetTransport{host: h}, RetryBudget: f.budget(),
 		Observer: noopObserver{}, Peers: h, Log: zap.NewNop(), HostID: h.id,
 		Forwarder: forward.NewRequestForwarder(forward.HostInfo{ID: h.id, Domain: h.domain}, h.open, h.otherHosts, zap.NewNop()),
 		Settings:  relay.Settings{ReservationLease: reservationLease},
@@ -262,12 +268,16 @@
 	return time.Since(h.disturbedAt) >= d
 }
 
+// frozenFor returns how long the host stays frozen.
+func (h *fleetHost) frozenFor() time.Duration {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	return max(time.Until(h.frozenUntil), 0)
+}
+
 // serve passes a request to the host once it is awake.
 func (h *fleetHost) serve(req relay.Request) *recordedResponse {
-	h.fleet.mu.Lock()
-	wake := h.frozenUntil
-	h.fleet.mu.Unlock()
-	time.Sleep(time.Until(wake))
+	time.Sleep(h.frozenFor())
 	req.Host, req.Key, req.Path, req.Arrived, req.Header = "shop", validKey, req.URI, time.Now(), http.Header{}
 	r := &recordedResponse{}
 	h.relay.Serve(context.Background(), &req, r)
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -298,11 +298,23 @@
 	return w
 }
 
+// newHarnessWithForwarder returns a harness that passes requests on to f.
+func newHarnessWithForwarder(next func(relay.Call) behaviour, f relay.Forwarder) *harness {
+	tr := &fakeTransport{behaviourOf: next}
+	w := newHarnessWith(tr, f)
+	w.transport = tr
+	return w
+}
+
 // newHarnessWithTransport returns a harness that uses the given transport.
 func newHarnessWithTransport(transport relay.Transport) *harness {
+	return newHarnessWith(transport, nil)
+}
+
+func newHarnessWith(transport relay.Transport, f relay.Forwarder) *harness {
 	w := &harness{views: newStaticView(newFakeSource()), budget: &fakeRetryBudget{left: 100}, placer: placement.NewPlacer(time.Now, 1)}
 	w.relay = relay.New(relay.Config{
-		Views: w.views, Placer: w.placer, Transport: transport, RetryBudget: w.budget,
+		Views: w.views, Placer: w.placer, Transport: transport, RetryBudget: w.budget, Forwarder: f,
 		Observer: noopObserver{}, Peers: noopObserver{}, Log: zap.NewNop(), HostID: "host",
 		Settings: relay.Settings{MaxViewAge: 4 * time.Second, ReservationLease: reservationLease, MaxIdleReservation: maxIdleReservation * 4 / 5},
 	})
