--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -103,9 +103,10 @@
 
 // Service is a group of interchangeable targets.
 type Service struct {
-	Name     string
-	MaxConns int     // connections that a target accepts from all hosts
-	Engine   *Engine // nil for a plain service
+	Name       string
+	MaxConns   int     // connections that a target accepts from all hosts
+	HealthPath string  // where a target tells whether it is healthy
+	Engine     *Engine // nil for a plain service
 }
 
 // Organisation is a customer that authenticates with keys.
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -153,7 +153,7 @@
 	case Misdirected:
 		l.ejectedUntil = now.Add(misdirectedEjection)
 		return
-	case Unreachable:
+	case Unreachable, Unconnected:
 		l.ejectionTime = min(max(2*l.ejectionTime, baseEjection), maxEjection)
 		l.ejectedUntil = now.Add(l.ejectionTime)
 		l.unreachableAt = now
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -67,6 +67,9 @@
 	Misdirected
 	// Unreachable means that the target did not answer.
 	Unreachable
+	// Unconnected means that no connection to the target could be opened, or that its
+	// data were not acknowledged. Unlike Unreachable, a request cannot bring it about.
+	Unconnected
 	// Failed means that the answer reports a failure of the target or is broken.
 	Failed
 	// Abandoned means that there is no result at the target: the caller
--- a/internal/placement/reachability.go
+++ b/internal/placement/reachability.go
@@ -7,10 +7,13 @@
 )
 
 const (
-	// minFailedTargets is how many targets of a service have to fail, with no answer
-	// from any of its targets since the first failure, for the service to count as
+	// minFailedTargets is to how many targets of a service connections have to fail, with
+	// no answer from any of its targets since the first failure, for the service to count as
 	// unreachable from this host. One silent target is a fault of that target.
 	minFailedTargets = 2
+	// lostFraction is the fraction of the targets of an unreachable service that have to
+	// fail for it to count as lost, so that the others are not tried either.
+	lostFraction = 0.5
 	// failureWindow is how long a failure counts.
 	failureWindow = 10 * time.Second
 	// unusedTime is the time without a request after which an unreachable service is no
@@ -23,9 +26,9 @@
 type ReachabilityChange struct {
 	Service   string
 	Reachable bool
-	// Since is when the first attempt without an answer ended.
+	// Since is when the first connection failed.
 	Since time.Time
-	// FailedTargets is the number of targets without an answer since then.
+	// FailedTargets is the number of targets to which connections have failed since then.
 	FailedTargets int
 	// StartProbing asks the receiver to probe the service until NeedsProbe returns false.
 	StartProbing bool
@@ -34,7 +37,7 @@
 // reachability tells from the results of this host's attempts whether it reaches the
 // targets of one service at all.
 type reachability struct {
-	failures         map[catalog.TargetKey]time.Time // latest attempts without an answer since the last answer of any target
+	failures         map[catalog.TargetKey]time.Time // latest failed connections since the last answer of any target
 	firstFailureAt   time.Time                       // the earliest of these; zero if there are none
 	unreachableSince time.Time                       // zero while the service counts as reachable
 	answeredAt       time.Time                       // latest answer of any target
@@ -42,7 +45,7 @@
 	probing          bool                            // the service is being probed
 }
 
-// recordFailure records an attempt that got no answer and reports whether the service
+// recordFailure records a failed connection to a target and reports whether the service
 // has become unreachable. targets is the number of targets of the service.
 func (r *reachability) recordFailure(target catalog.TargetKey, targets int, now time.Time) bool {
 	if r.failures == nil {
@@ -124,6 +127,16 @@
 	return s.reachability.answeredAt.After(t)
 }
 
+// Lost reports whether connections to most targets of a service have failed, with no answer
+// from any since, so that an attempt at another one would most likely fail too.
+func (pl *Placer) Lost(service string) bool {
+	s := pl.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := &s.reachability
+	return !r.unreachableSince.IsZero() && float64(len(r.failures)) > lostFraction*float64(s.targetCount)
+}
+
 // NeedsProbe reports whether a service is unreachable and in use.
 func (pl *Placer) NeedsProbe(service string) bool {
 	now := pl.now()
@@ -149,15 +162,15 @@
 	pl.recordReachability(s, t.TargetKey, Served, pl.now())
 }
 
-// RecordUnreachable records that a call that belongs to no placement could not be sent to
-// a target.
-func (pl *Placer) RecordUnreachable(t catalog.Target) {
+// RecordUnconnected records that no connection to a target could be opened for a call that
+// belongs to no placement.
+func (pl *Placer) RecordUnconnected(t catalog.Target) {
 	now := pl.now()
 	s := pl.shard(t.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load(t.TargetKey).recordResult(Unreachable, now)
-	pl.recordReachability(s, t.TargetKey, Unreachable, now)
+	s.load(t.TargetKey).recordResult(Unconnected, now)
+	pl.recordReachability(s, t.TargetKey, Unconnected, now)
 }
 
 // clearEjections makes the targets eligible again that have been ejected as unreachable
@@ -175,7 +188,7 @@
 func (pl *Placer) recordReachability(s *shard, target catalog.TargetKey, result Result, now time.Time) {
 	change := ReachabilityChange{Service: s.service, Since: s.reachability.unreachableSince, FailedTargets: len(s.reachability.failures)}
 	switch result {
-	case Unreachable:
+	case Unconnected:
 		if !s.reachability.recordFailure(target, s.targetCount, now) {
 			return
 		}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -215,10 +215,11 @@
 		placed.End(placement.Abandoned)
 		return resultUnknown, ReasonTimeout
 	}
-	placed.End(placement.Unreachable)
 	if !sent {
+		placed.End(placement.Unconnected)
 		return resultNotExecuted, ReasonNoTarget
 	}
+	placed.End(sendErr.placementResult())
 	j.recordCrash(placed.Primary.TargetKey)
 	return resultUnknown, ReasonNoUsableResponse
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -70,6 +70,10 @@
 	switch {
 	case j.relay.cfg.Forwarder == nil, j.noHostTakesIt:
 		return false
+	case j.req.Origin != nil && j.relay.cfg.Placer.Lost(j.serviceName):
+		return true
+	case j.req.Origin != nil:
+		return len(j.unsentTargets) > 0
 	case j.relay.cfg.Placer.Unreachable(j.serviceName), len(j.unsentTargets) >= maxUnsentTargets:
 		return true
 	}
@@ -98,18 +102,23 @@
 		if !r.cfg.Placer.NeedsProbe(service) {
 			return
 		}
-		if targets := r.cfg.Views.View().Targets(service); len(targets) > 0 {
-			r.probe(targets[rand.IntN(len(targets))])
-		}
+		r.probe(service)
 		r.scheduleProbe(service)
 	})
 }
 
-// probe tests whether a target can be reached, and records the result.
-func (r *Relay) probe(target catalog.Target) {
+// probe tests whether a random target of a service can be reached, and records the result.
+func (r *Relay) probe(name string) {
+	view := r.cfg.Views.View()
+	targets := view.Targets(name)
+	service, known := view.Config.Service(name)
+	if len(targets) == 0 || !known {
+		return
+	}
+	target := targets[rand.IntN(len(targets))]
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	err := r.cfg.Transport.Probe(ctx, target)
+	err := r.cfg.Transport.Probe(ctx, service, target)
 	r.cfg.Log.Info("probe of an unreachable service", zap.String("service", target.Service), zap.String("target", target.ID), zap.Bool("reached", err == nil), zap.Error(err))
 	r.cfg.Placer.RecordProbe(target, err == nil)
 }
@@ -170,13 +179,13 @@
 // recordUnsent records that the request could not be sent to a target.
 func (j *job) recordUnsent(target string) { j.unsentTargets = append(j.unsentTargets, target) }
 
-// handleNoHost refuses the request if the service is unreachable, and otherwise lets it
-// try other targets.
+// handleNoHost refuses the request if the service is lost, and otherwise lets it try other
+// targets.
 func (j *job) handleNoHost() (attemptResult, Reason) {
 	j.noHostTakesIt = true
 	j.relay.cfg.Observer.Forwarded(string(ReasonUnreachable))
 	j.log("no host to forward to")
-	if j.relay.cfg.Placer.Unreachable(j.serviceName) {
+	if j.relay.cfg.Placer.Lost(j.serviceName) {
 		return resultRejected, ReasonUnreachable
 	}
 	return resultPostponed, ReasonNoTarget
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -118,7 +118,7 @@
 	case errors.Is(err, ErrNoMemory):
 		j.relay.cfg.Placer.RecordNoMemory(l.part.Target)
 	case errors.As(err, &sendErr) && !sendErr.MaybeSent:
-		j.relay.cfg.Placer.RecordUnreachable(l.part.Target)
+		j.relay.cfg.Placer.RecordUnconnected(l.part.Target)
 		j.recordUnsent(l.part.Target.ID)
 		j.triedTargets = append(j.triedTargets, l.part.Target.ID)
 	default:
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -101,7 +101,18 @@
 type SendError struct {
 	// MaybeSent means that the request may have reached the target.
 	MaybeSent bool
-	Cause     error
+	// Unacknowledged means that the data sent to the target's host were not acknowledged.
+	Unacknowledged bool
+	Cause          error
+}
+
+// placementResult is the result of an attempt that may have reached its target. e is nil
+// for an error of another type.
+func (e *SendError) placementResult() placement.Result {
+	if e != nil && e.Unacknowledged {
+		return placement.Unconnected
+	}
+	return placement.Unreachable
 }
 
 // Error returns the cause and whether the request may have been executed.
@@ -125,8 +136,9 @@
 	Reserve(ctx context.Context, target catalog.Target, id string, tokens int, lease time.Duration) error
 	// Release releases a reservation.
 	Release(ctx context.Context, target catalog.Target, id string) error
-	// Probe opens a connection to a target and closes it.
-	Probe(ctx context.Context, target catalog.Target) error
+	// Probe asks a target of a service for a sign of life that takes up no place there, if
+	// it offers one.
+	Probe(ctx context.Context, service *catalog.Service, target catalog.Target) error
 }
 
 // ResponseWriter writes the response to the caller. Its methods are called by a
