Forward: a response that was given up never ends as whole

Cause, by reading with the trace: the host that had forwarded the request gave the attempt up for want of progress and closed its stream. A stream that is closed locally can still be read. The other host took the close for a caller that had left, and ended the response without an error. Its end arrived and was taken for the end of the whole stream.

Now a response whose caller has left is aborted when it has begun, by every host, and the forwarding side takes nothing for whole once it has given up.

--- a/internal/forward/requests.go
+++ b/internal/forward/requests.go
@@ -108,7 +108,7 @@
 		release()
 		return f.handleRefusal(call, host, decodeRefusal(refusal)), nil
 	}
-	body := &responseBody{stream: s, host: host, release: func() { stop(); release() }}
+	body := &responseBody{ctx: ctx, stream: s, host: host, release: func() { stop(); release() }}
 	return &relay.Forwarded{Host: host, Response: decodeHead(first.GetHead(), body)}, nil
 }
 
@@ -165,6 +165,7 @@
 // responseBody reads the body of a response from a stream. It returns io.EOF only after
 // the end of the whole response.
 type responseBody struct {
+	ctx     context.Context // of the request; once it has ended, nothing counts any more
 	stream  Stream
 	host    string
 	release func()
@@ -187,7 +188,11 @@
 
 func (b *responseBody) receive() {
 	var event forwardpb.RequestEvent
-	if err := b.stream.Recv(&event); err != nil {
+	err := b.stream.Recv(&event)
+	if b.ctx.Err() != nil {
+		err = b.ctx.Err()
+	}
+	if err != nil {
 		b.err = hostLostError(b.host, err)
 		return
 	}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -188,6 +188,9 @@
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		j.log("caller left")
+		if j.responseStarted {
+			j.writer.Abort()
+		}
 	case j.responseStarted:
 		j.log("stream aborted", zap.String("last_event", j.seq.lastEventID()))
 		j.writer.Abort()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -291,3 +291,19 @@
 		g.Expect(w.transport.reservationCount()).To(BeZero())
 	})
 }
+
+// A host that stops cancels the requests of other hosts, and must not end their streams as
+// if they were whole.
+func TestCancelledStreamIsAborted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newHarness(func(relay.Call) behaviour {
+			cancel()
+			return behaviour{status: http.StatusOK, events: streamEvents, breakAfter: 2}
+		})
+		r := w.serve(ctx, relay.Request{URI: "/chat/1", PromptTokens: 400})
+		g.Expect(r.body.String()).To(Equal(events(1, 2)))
+		g.Expect(r.aborted).To(BeTrue())
+	})
+}
