--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -235,7 +235,7 @@
 		return resultNotExecuted, ReasonNoTarget
 	case resp.NotExecuted:
 		j.recordRefusal(placed, resp)
-		j.recordOutcome("not_run", j.at(placed), zap.Int("status", resp.Status))
+		j.recordOutcome("not_run", j.at(placed), zap.Int("status", resp.Status), zap.Duration("retry_after", resp.RetryAfter))
 		return resultNotExecuted, ReasonTargetsBusy
 	}
 	j.possibleExecutions++
