--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -319,7 +319,8 @@
 	host    string
 	request *relay.Request
 	at      time.Time
-	calm    bool // the host was calm
+	calm    bool          // the host was calm
+	rest    time.Duration // that the target asked for; 0 if it took the request
 }
 
 // fleetTargets are the targets of a fleet. They answer after a delay and record
@@ -332,8 +333,10 @@
 	limits   map[string]placement.RateLimit // by target
 	namedAt  map[string]time.Time           // first naming of a limit, by target
 	arrivals []arrival
-	engines  map[string]*fleetEngine // by target; those that a prompt can crash
-	crashes  []time.Time             // ends of engines
+	rests    map[string]time.Duration // that targets ask for as they refuse requests
+	failing  map[string]bool          // targets whose requests fail
+	engines  map[string]*fleetEngine  // by target; those that a prompt can crash
+	crashes  []time.Time              // ends of engines
 }
 
 // engine returns the engine behind a target, or nil.
@@ -346,7 +349,7 @@
 func newFleetTargets(delay time.Duration) *fleetTargets {
 	return &fleetTargets{
 		delay: delay, limits: make(map[string]placement.RateLimit),
-		namedAt: make(map[string]time.Time),
+		namedAt: make(map[string]time.Time), rests: make(map[string]time.Duration), failing: make(map[string]bool),
 	}
 }
 
@@ -365,6 +368,20 @@
 	delete(t.limits, target)
 }
 
+// setRest makes a target refuse all requests from now on and ask for rest; 0 ends it.
+func (t *fleetTargets) setRest(target string, rest time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rests[target] = rest
+}
+
+// state returns the rest that a target asks for, and whether its requests fail.
+func (t *fleetTargets) state(target string) (rest time.Duration, failing bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rests[target], t.failing[target]
+}
+
 // calmTime is how long a host must be undisturbed for its requests to count.
 const calmTime = 3 * time.Second
 
@@ -373,7 +390,7 @@
 	calm := h.calm(calmTime)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.arrivals = append(t.arrivals, arrival{target: target, host: h.id, request: req, at: time.Now(), calm: calm})
+	t.arrivals = append(t.arrivals, arrival{target: target, host: h.id, request: req, at: time.Now(), calm: calm, rest: t.rests[target]})
 	return t.limits[target]
 }
 
@@ -405,6 +422,11 @@
 	if e := targets.engine(id); e != nil {
 		return e.answer(call)
 	}
+	if rest, failing := targets.state(id); rest > 0 {
+		return &relay.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}, NotExecuted: true, RetryAfter: rest, Body: http.NoBody}, nil
+	} else if failing {
+		return &relay.Response{Status: http.StatusInternalServerError, Header: http.Header{}, Authentic: true, Body: http.NoBody}, nil
+	}
 	resp := &relay.Response{Status: http.StatusOK, Header: http.Header{"Content-Type": {contentType(call.Request.URI)}}, Authentic: true, RateLimit: limit, Body: io.NopCloser(strings.NewReader("done"))}
 	if strings.HasPrefix(call.Request.URI, "/chat/") {
 		resp.Stream = true
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -97,7 +97,7 @@
 	// RetryAfter is how long a target that refused the request wants no more from this
 	// host; 0 if it does not say.
 	RetryAfter time.Duration
-	Body      io.ReadCloser
+	Body       io.ReadCloser
 }
 
 // SendError is the error of an attempt that got no usable response.
