Placement: a target that asks this host for rest gets no requests meanwhile

Callers saw a second attempt.

Cause: the time that a target names in a refusal was not read. A refusal kept the target from being chosen for 0.15 s, and not even that if no other target was left, as for second attempts at a service with three targets. Class: what a target says of itself in an answer was dropped at the boundary.

Ruled out: requests under way at the refusal, as they arrive within the first half second.

Now the time is kept for each target and host, and such a target is no choice of last resort either. If no target wants a request, it waits until its objective or is refused at once; the caller is told to come back within half a second, since the target has asked this host alone. Another host that works for this one keeps the rests that it was asked for itself. The time counts from the arrival of the answer, and is checked again after memory was reserved.

Its bound for refusals is now the objective and six attempts of 40 ms instead of 0.4 s, as a request may wait for its objective first; and a target's answer holds what it said as the request came.

--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -52,7 +52,8 @@
 	lastPrefillAt time.Time // when a prompt was last prefilled here
 	noMemoryAt    time.Time // when it last had no memory for a reservation
 
-	limiter rateLimiter
+	limiter   rateLimiter
+	restUntil time.Time // until when it wants no requests of this host
 
 	failureRate   float64 // moving average over recent attempts, 0 to 1
 	failureRateAt time.Time
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -245,7 +245,7 @@
 
 func (sim *simulation) arrive(wl workload, r request) {
 	placed, engines, err := sim.place(wl, r)
-	var limited *placement.RateLimitedError
+	var limited *placement.DeferredError
 	switch {
 	case errors.As(err, &limited) && sim.fleet.Now()+limited.RetryAfter <= r.at+wl.objective:
 		sim.after(limited.RetryAfter, func() { sim.arrive(wl, r) })
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -117,7 +117,7 @@
 
 // Place chooses among targets and adds the request to the load of the chosen
 // ones. It returns ErrNoTarget if too few of them are eligible, and a
-// *RateLimitedError if their rate limits permit no request at the moment.
+// *DeferredError if none of them wants a request at the moment.
 func (pl *Placer) Place(req Request, targets []catalog.Target) (*Placement, error) {
 	s := pl.shard(req.Service)
 	now := pl.now()
@@ -151,10 +151,11 @@
 // candidates returns the eligible targets, and apart from them those that may only help
 // with the prefill, since their rate limit permits no request at the moment. Together
 // they are at least as many as the request needs. Ejected targets, and those of
-// unreachable failure domains, are eligible only if there are no others.
+// unreachable failure domains, are eligible only if there are no others; those that have
+// asked for rest are not eligible at all.
 func (s *shard) candidates(req Request, targets []catalog.Target, view fleetView, now time.Time) (eligible, helpers []*targetLoad, err error) {
 	var unhealthy []*targetLoad
-	var limited *RateLimitedError
+	var deferred *DeferredError
 	unreachable := s.unreachableDomains(now)
 	for _, t := range targets {
 		if slices.Contains(req.ExcludedTargets, t.ID) {
@@ -163,10 +164,14 @@
 		l := s.load(t.TargetKey)
 		l.target = t
 		healthy := !l.ejected(now) && !unreachable[t.Domain]
+		if rest := l.restUntil.Sub(now); rest > 0 {
+			deferred = deferred.earlier(DeferredError{RetryAfter: rest, OnlyHere: true})
+			continue
+		}
 		wait := s.rateLimitWait(l, view, now)
 		switch {
 		case wait > 0:
-			limited = limited.earlier(wait)
+			deferred = deferred.earlier(DeferredError{RetryAfter: wait})
 			if healthy {
 				helpers = append(helpers, l)
 			}
@@ -182,8 +187,8 @@
 	switch {
 	case len(eligible) > 0 && len(eligible)+len(helpers) >= minParts(&req):
 		return eligible, helpers, nil
-	case len(eligible) == 0 && limited != nil:
-		return nil, nil, limited
+	case deferred != nil:
+		return nil, nil, deferred
 	default:
 		return nil, nil, ErrNoTarget
 	}
@@ -271,6 +276,32 @@
 	}
 }
 
+// RecordRest records that a target wants no requests of this host for a while.
+func (pl *Placer) RecordRest(t catalog.Target, rest time.Duration) {
+	s := pl.shard(t.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.loads[t.TargetKey]; l != nil {
+		l.restUntil = later(l.restUntil, pl.now().Add(rest))
+	}
+}
+
+// Resting reports whether a target wants no requests of this host.
+func (pl *Placer) Resting(t catalog.Target) bool {
+	s := pl.shard(t.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.loads[t.TargetKey]
+	return l != nil && pl.now().Before(l.restUntil)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // RecordNoMemory records that an engine had no free memory for a reservation.
 func (pl *Placer) RecordNoMemory(t catalog.Target) {
 	s := pl.shard(t.Service)
--- a/internal/placement/ratelimit.go
+++ b/internal/placement/ratelimit.go
@@ -33,23 +33,25 @@
 	Limit   RateLimit
 }
 
-// RateLimitedError means that every target that could serve the request has reached
-// its rate limit.
-type RateLimitedError struct {
+// DeferredError means that every target that could serve the request is at its rate limit
+// or has asked this host to send none for a while.
+type DeferredError struct {
 	RetryAfter time.Duration // until a target accepts the next request
+	// OnlyHere means that the target has asked this host alone.
+	OnlyHere bool
 }
 
 // Error returns when to try again.
-func (e *RateLimitedError) Error() string {
-	return fmt.Sprintf("all targets are at their rate limit: try again in %s", e.RetryAfter)
+func (e *DeferredError) Error() string {
+	return fmt.Sprintf("no target wants a request now: try again in %s", e.RetryAfter)
 }
 
-// earlier returns the error for the earlier of two times; e may be nil.
-func (e *RateLimitedError) earlier(wait time.Duration) *RateLimitedError {
-	if e != nil && e.RetryAfter <= wait {
+// earlier returns the error with the earlier time; e may be nil.
+func (e *DeferredError) earlier(other DeferredError) *DeferredError {
+	if e != nil && e.RetryAfter <= other.RetryAfter {
 		return e
 	}
-	return &RateLimitedError{RetryAfter: wait}
+	return &other
 }
 
 // rateLimiter is a token bucket for the requests that all hosts send to one target. It
--- a/internal/placement/ratelimit_test.go
+++ b/internal/placement/ratelimit_test.go
@@ -67,7 +67,7 @@
 		p.End(placement.Served)
 	}
 	placer.RecordPeerRateLimit(placement.TargetRateLimit{Service: "llm", Target: engines[atLimit].TargetKey, Limit: placement.RateLimit{PerSecond: 1, Named: true}})
-	var limited *placement.RateLimitedError
+	var limited *placement.DeferredError
 	for _, tokens := range []int{2000, 300000} {
 		_, err := place(tokens)
 		g.Expect(errors.As(err, &limited)).To(BeTrue())
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -44,10 +44,10 @@
 		return j.forward(ctx)
 	}
 	placed, err := j.place()
-	var limited *placement.RateLimitedError
+	var deferred *placement.DeferredError
 	switch {
-	case errors.As(err, &limited):
-		return j.waitForRateLimit(ctx, limited)
+	case errors.As(err, &deferred):
+		return j.waitUntilWanted(ctx, deferred)
 	case err != nil:
 		return resultRejected, j.placementReason(err)
 	}
@@ -61,6 +61,10 @@
 		return j.handleReserveFailure(ctx)
 	}
 	defer reservations.release()
+	if j.relay.cfg.Placer.Resting(placed.Primary) {
+		placed.End(placement.Abandoned)
+		return resultPostponed, ReasonTargetsResting // asked for rest while memory was reserved
+	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := newWatchdog(cancel, j.firstEventTimeout(placed, reservations))
@@ -253,6 +257,9 @@
 // recordRefusal records a refusal against the engine that caused it, which may be
 // a helper rather than the primary target.
 func (j *job) recordRefusal(placed *placement.Placement, resp *Response) {
+	if resp.RetryAfter > 0 {
+		j.relay.cfg.Placer.RecordRest(placed.Primary, resp.RetryAfter)
+	}
 	if resp.FaultAddr == "" || resp.FaultAddr == placed.Primary.Addr.String() {
 		placed.End(placement.Shed)
 		return
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -416,15 +416,17 @@
 		return nil, err
 	}
 	limit := targets.arrive(id, call.Request, tr.host)
+	rest, failing := targets.state(id)
 	if err := tr.host.links.await(ctx, call.Target.Service, targets.delay); err != nil {
 		return nil, &relay.SendError{MaybeSent: true, Cause: err}
 	}
 	if e := targets.engine(id); e != nil {
 		return e.answer(call)
 	}
-	if rest, failing := targets.state(id); rest > 0 {
+	switch {
+	case rest > 0:
 		return &relay.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}, NotExecuted: true, RetryAfter: rest, Body: http.NoBody}, nil
-	} else if failing {
+	case failing:
 		return &relay.Response{Status: http.StatusInternalServerError, Header: http.Header{}, Authentic: true, Body: http.NoBody}, nil
 	}
 	resp := &relay.Response{Status: http.StatusOK, Header: http.Header{"Content-Type": {contentType(call.Request.URI)}}, Authentic: true, RateLimit: limit, Body: io.NopCloser(strings.NewReader("done"))}
--- a/internal/relay/ratelimit.go
+++ b/internal/relay/ratelimit.go
@@ -11,24 +11,34 @@
 	"github.com/plantainrun/plantainrun/internal/placement"
 )
 
-// rateLimitJitter spreads the requests that wait for the rate limits of the same
-// targets.
-const rateLimitJitter = 50 * time.Millisecond
+const (
+	// deferredJitter spreads the requests that wait for the same targets.
+	deferredJitter = 50 * time.Millisecond
+	// maxRetryAfterElsewhere is the longest time after which a caller is told to come back
+	// if another host may serve it earlier.
+	maxRetryAfterElsewhere = 500 * time.Millisecond
+)
 
-// waitForRateLimit waits until a target may accept another request. A request whose
+// waitUntilWanted waits until a target may accept another request. A request whose
 // objective passes before is refused, unless the caller has part of the answer already.
-func (j *job) waitForRateLimit(ctx context.Context, limited *placement.RateLimitedError) (attemptResult, Reason) {
-	wait := limited.RetryAfter + rand.N(rateLimitJitter)
+func (j *job) waitUntilWanted(ctx context.Context, deferred *placement.DeferredError) (attemptResult, Reason) {
+	reason := ReasonRateLimited
+	wait := deferred.RetryAfter + rand.N(deferredJitter)
+	retryAfter := wait
+	if deferred.OnlyHere {
+		reason = ReasonTargetsResting
+		retryAfter = min(wait, maxRetryAfterElsewhere)
+	}
 	if !j.callerHasEvents() && time.Now().Add(wait).After(j.req.Arrived.Add(j.route.Objective)) {
-		j.retryAfter = wait
-		return resultRejected, ReasonRateLimited
+		j.retryAfter = retryAfter
+		return resultRejected, reason
 	}
 	select {
 	case <-ctx.Done():
-		return resultRejected, ReasonRateLimited
+		return resultRejected, reason
 	case <-time.After(wait):
 	}
-	return resultPostponed, ReasonRateLimited
+	return resultPostponed, reason
 }
 
 // recordRateLimit records the rate limit that a target names in an answer to a request
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -26,6 +26,7 @@
 	ReasonDraining          Reason = "draining"     // not executed: this host takes no requests of others any more
 	ReasonTargetsBusy       Reason = "busy"         // not executed: every target tried was at capacity
 	ReasonRateLimited       Reason = "rate_limited" // not executed: every target is at the rate limit that it names
+	ReasonTargetsResting    Reason = "resting"      // not executed: every target has asked this host to send none for a while
 	ReasonInfeasible        Reason = "hopeless"     // not executed: it exceeds the engines' capacity or the predicted wait is too long
 	ReasonNoMemory          Reason = "no_memory"    // not executed: the prompt's memory could not be reserved
 	ReasonQuarantined       Reason = "quarantined"  // not executed: it has crashed targets
@@ -58,6 +59,7 @@
 	ReasonDraining:          http.StatusServiceUnavailable,
 	ReasonTargetsBusy:       http.StatusServiceUnavailable,
 	ReasonRateLimited:       http.StatusServiceUnavailable,
+	ReasonTargetsResting:    http.StatusServiceUnavailable,
 	ReasonInfeasible:        http.StatusServiceUnavailable,
 	ReasonNoMemory:          http.StatusServiceUnavailable,
 	ReasonQuarantined:       http.StatusServiceUnavailable,
@@ -74,6 +76,7 @@
 	ReasonTargetsBusy:       300 * time.Millisecond,
 	ReasonNoMemory:          700 * time.Millisecond,
 	ReasonRateLimited:       300 * time.Millisecond,
+	ReasonTargetsResting:    300 * time.Millisecond,
 	ReasonInfeasible:        500 * time.Millisecond,
 	ReasonQuarantined:       5 * time.Second,
 }
@@ -87,7 +90,7 @@
 // another host.
 func (r Reason) OnlyHere() bool {
 	switch r {
-	case ReasonConfigUnconfirmed, ReasonUnreachable, ReasonOverloaded, ReasonDraining:
+	case ReasonConfigUnconfirmed, ReasonUnreachable, ReasonOverloaded, ReasonDraining, ReasonTargetsResting:
 		return true
 	}
 	return false
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -16,6 +16,10 @@
 	restGrace = 500 * time.Millisecond
 	// maxRequestsInRest is the number of requests that a host may send within the rest.
 	maxRequestsInRest = 2
+	// refusalBound is the objective of a prompt, for which it may wait, and the time of six
+	// attempts, all that one request may make.
+	refusalBound = 300*time.Millisecond + 6*targetDelay
+	targetDelay  = 40 * time.Millisecond
 )
 
 // mostInRest returns the largest number of requests that a calm host sent to a target
@@ -63,7 +67,7 @@
 func checkRest(t *testing.T, hosts int, service, others string) {
 	const rest = 3 * time.Second
 	g := NewWithT(t)
-	targets := newFleetTargets(40 * time.Millisecond)
+	targets := newFleetTargets(targetDelay)
 	f := newFleet(hosts, newFakeSource(), targets)
 	after := func(seconds float64, event func()) {
 		time.AfterFunc(time.Duration(seconds*float64(time.Second)), event)
@@ -93,7 +97,7 @@
 	for _, try := range tries {
 		if r := try.response.refusal; r != nil && whileResting(try) {
 			g.Expect(r.RetryAfter).To(BeNumerically(">", 0))
-			g.Expect(try.took-try.frozen).To(BeNumerically("<", 400*time.Millisecond), "refused at once: %s", r.Reason)
+			g.Expect(try.took-try.frozen).To(BeNumerically("<=", refusalBound), "refused at once: %s", r.Reason)
 		}
 	}
 }
