Placement: a target that says that it is leaving gets no further requests

A target that is about to end says so in all its answers (DRAIN on the users' pages), and may still be registered. Hosts went by the registration alone. Now a host that has had such an answer sends that incarnation nothing more, also as a last resort.

TestTargetThatLeavesGetsNoFurtherRequests failed before.

--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -54,6 +54,7 @@
 
 	limiter   rateLimiter
 	restUntil time.Time // until when it wants no requests of this host
+	leaving   bool      // it has said that it is about to end
 
 	failureRate   float64 // moving average over recent attempts, 0 to 1
 	failureRateAt time.Time
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -152,7 +152,7 @@
 // with the prefill, since their rate limit permits no request at the moment. Together
 // they are at least as many as the request needs. Ejected targets, and those of
 // unreachable failure domains, are eligible only if there are no others; those that have
-// asked for rest are not eligible at all.
+// asked for rest, or are about to end, are not eligible at all.
 func (s *shard) candidates(req Request, targets []catalog.Target, view fleetView, now time.Time) (eligible, helpers []*targetLoad, err error) {
 	var unhealthy []*targetLoad
 	var deferred *DeferredError
@@ -163,6 +163,9 @@
 		}
 		l := s.load(t.TargetKey)
 		l.target = t
+		if l.leaving {
+			continue
+		}
 		healthy := !l.ejected(now) && !unreachable[t.Domain]
 		if rest := l.restUntil.Sub(now); rest > 0 {
 			deferred = deferred.earlier(DeferredError{RetryAfter: rest, OnlyHere: true})
@@ -286,13 +289,27 @@
 	}
 }
 
-// Resting reports whether a target wants no requests of this host.
-func (pl *Placer) Resting(t catalog.Target) bool {
+// RecordLeaving records that a target is about to end, and reports whether that is new.
+func (pl *Placer) RecordLeaving(t catalog.Target) bool {
+	s := pl.shard(t.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.loads[t.TargetKey]
+	if l == nil || l.leaving {
+		return false
+	}
+	l.leaving = true
+	return true
+}
+
+// Declines reports whether a target wants no requests of this host: it has asked for rest
+// or is about to end.
+func (pl *Placer) Declines(t catalog.Target) bool {
 	s := pl.shard(t.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.loads[t.TargetKey]
-	return l != nil && pl.now().Before(l.restUntil)
+	return l != nil && (l.leaving || pl.now().Before(l.restUntil))
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -61,9 +61,9 @@
 		return j.handleReserveFailure(ctx)
 	}
 	defer reservations.release()
-	if j.relay.cfg.Placer.Resting(placed.Primary) {
+	if j.relay.cfg.Placer.Declines(placed.Primary) { // since memory was reserved
 		placed.End(placement.Abandoned)
-		return resultPostponed, ReasonTargetsResting // asked for rest while memory was reserved
+		return resultPostponed, ReasonTargetsResting
 	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -77,6 +77,7 @@
 	defer resp.Body.Close()
 	if !resp.Misdirected {
 		j.recordRateLimit(placed.Primary, resp.RateLimit, sentAt)
+		j.recordLeaving(placed.Primary, resp.Leaving)
 	}
 	return j.handleResponse(ctx, placed, resp, watchdog)
 }
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -134,6 +134,7 @@
 	breakAfter   int
 	truncated    bool
 	unresponsive bool   // never responds
+	leaving      bool   // says that it is about to end
 	rawStream    string // body of an event stream, sent verbatim
 }
 
@@ -168,7 +169,7 @@
 		<-ctx.Done()
 		return nil, &relay.SendError{MaybeSent: true, Cause: ctx.Err()}
 	}
-	a := &relay.Response{Status: s.status, Header: http.Header{"X-From": {call.Target.ID}}, Authentic: !s.unsigned, NotExecuted: s.refused}
+	a := &relay.Response{Status: s.status, Header: http.Header{"X-From": {call.Target.ID}}, Authentic: !s.unsigned, NotExecuted: s.refused, Leaving: s.leaving}
 	a.Body = io.NopCloser(strings.NewReader(s.body))
 	if s.rawStream != "" {
 		a.Stream = true
--- a/internal/relay/ratelimit.go
+++ b/internal/relay/ratelimit.go
@@ -41,6 +41,14 @@
 	return resultPostponed, reason
 }
 
+// recordLeaving records that a target says in an answer that it is about to end. It may
+// still be registered.
+func (j *job) recordLeaving(target catalog.Target, leaving bool) {
+	if leaving && j.relay.cfg.Placer.RecordLeaving(target) {
+		j.relay.cfg.Log.Info("target is leaving", zap.String("target", target.ID), zap.String("service", target.Service))
+	}
+}
+
 // recordRateLimit records the rate limit that a target names in an answer to a request
 // sent at sentAt.
 func (j *job) recordRateLimit(target catalog.Target, limit placement.RateLimit, sentAt time.Time) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -307,3 +307,29 @@
 		g.Expect(r.aborted).To(BeTrue())
 	})
 }
+
+func TestTargetThatLeavesGetsNoFurtherRequests(t *testing.T) {
+	for uri, answer := range map[string]behaviour{
+		"/status/1": {status: http.StatusOK, body: "done", leaving: true},
+		"/order/1":  {status: http.StatusServiceUnavailable, refused: true, leaving: true},
+		"/chat/1":   {status: http.StatusOK, events: streamEvents, leaving: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			leaving := make(map[string]bool)
+			w := newHarness(func(call relay.Call) behaviour {
+				g.Expect(leaving[call.Target.ID]).To(BeFalse(), uri)
+				leaving[call.Target.ID] = true
+				return answer
+			})
+			for range 20 {
+				w.serve(t.Context(), relay.Request{URI: uri, PromptTokens: 400})
+				time.Sleep(time.Second)
+			}
+			g.Expect(leaving).To(HaveLen(5), "each target until it says that it leaves")
+			r := w.serve(t.Context(), relay.Request{URI: uri, PromptTokens: 400})
+			g.Expect(r.refusal.Reason).To(Equal(relay.ReasonNoTarget))
+			g.Expect(r.refusal.RetryAfter).To(BeNumerically(">", 0))
+		})
+	}
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -94,6 +94,8 @@
 	FaultAddr string
 	// RateLimit is the rate of requests that the target accepts from all hosts.
 	RateLimit placement.RateLimit
+	// Leaving means that the target is about to end and wants no further requests.
+	Leaving bool
 	// RetryAfter is how long a target that refused the request wants no more from this
 	// host; 0 if it does not say.
 	RetryAfter time.Duration
