--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -3,15 +3,11 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
-
-	"github.com/plantainrun/plantainrun/internal/catalog"
-	"github.com/plantainrun/plantainrun/internal/placement"
 )
 
 const (
@@ -21,10 +17,6 @@
 	// slowFailure is the duration of an attempt that was not sent from which the request
 	// is forwarded at once, if no target has answered meanwhile.
 	slowFailure = 300 * time.Millisecond
-	// probeInterval is the mean time between two probes of an unreachable service.
-	probeInterval = 500 * time.Millisecond
-	// probeTimeout limits one probe of a target.
-	probeTimeout = 500 * time.Millisecond
 )
 
 // ErrNoHost means that no other host could take a request. It was not sent.
@@ -81,48 +73,6 @@
 	return slow && !j.relay.cfg.Placer.AnsweredSince(j.serviceName, j.attemptStarted)
 }
 
-// reachabilityChanged logs that this host has lost or regained its path to a service. It
-// probes a lost one until it is regained.
-func (r *Relay) reachabilityChanged(c placement.ReachabilityChange) {
-	message := "service unreachable from this host"
-	if c.Reachable {
-		message = "service reachable again"
-	}
-	r.cfg.Log.Warn(message, zap.String("service", c.Service), zap.Duration("for", time.Since(c.Since)), zap.Int("failed_targets", c.FailedTargets))
-	if c.StartProbing {
-		r.scheduleProbe(c.Service)
-	}
-}
-
-// scheduleProbe probes the targets of a service, one at a time, while it is unreachable and
-// in use. The times are random, so that hosts that were cut off together do not probe
-// together.
-func (r *Relay) scheduleProbe(service string) {
-	time.AfterFunc(probeInterval/2+rand.N(probeInterval), func() {
-		if !r.cfg.Placer.NeedsProbe(service) {
-			return
-		}
-		r.probe(service)
-		r.scheduleProbe(service)
-	})
-}
-
-// probe tests whether a random target of a service can be reached, and records the result.
-func (r *Relay) probe(name string) {
-	view := r.cfg.Views.View()
-	targets := view.Targets(name)
-	service, known := view.Config.Service(name)
-	if len(targets) == 0 || !known {
-		return
-	}
-	target := targets[rand.IntN(len(targets))]
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	err := r.cfg.Transport.Probe(ctx, service, target)
-	r.cfg.Log.Info("probe of an unreachable service", zap.String("service", target.Service), zap.String("target", target.ID), zap.Bool("reached", err == nil), zap.Error(err))
-	r.cfg.Placer.RecordProbe(target, err == nil)
-}
-
 // forward passes the request to another host. A request that another host has forwarded
 // goes no further.
 func (j *job) forward(ctx context.Context) (attemptResult, Reason) {
@@ -216,51 +166,3 @@
 	j.refusal = out.Refusal
 	return resultRejected, out.Refusal.Reason
 }
-
-// destination is where an attempt was sent.
-type destination interface {
-	// FirstEvent records the first event of the response.
-	FirstEvent()
-	// End records the result of the attempt.
-	End(placement.Result)
-	// target returns the target, or false if another host chose it.
-	target() (catalog.TargetKey, bool)
-	// fields describes the destination in logs.
-	fields() []zap.Field
-	// recordOutcome counts the outcome of the attempt.
-	recordOutcome(service, outcome string)
-}
-
-// placedAt is a destination that this host has chosen.
-type placedAt struct {
-	*placement.Placement
-	relay *Relay
-}
-
-func (p placedAt) target() (catalog.TargetKey, bool) { return p.Primary.TargetKey, true }
-
-func (p placedAt) fields() []zap.Field {
-	return []zap.Field{zap.String("target", p.Primary.ID), zap.Duration("predicted_wait", p.PredictedWait)}
-}
-
-func (p placedAt) recordOutcome(service, outcome string) {
-	p.relay.cfg.Observer.AttemptEnded(service, outcome)
-}
-
-// forwardedTo is another host, which accounts for the attempt itself.
-type forwardedTo struct {
-	relay *Relay
-	host  string
-}
-
-// FirstEvent does nothing.
-func (forwardedTo) FirstEvent() {}
-
-// End does nothing.
-func (forwardedTo) End(placement.Result) {}
-
-func (forwardedTo) target() (catalog.TargetKey, bool) { return catalog.TargetKey{}, false }
-
-func (f forwardedTo) fields() []zap.Field { return []zap.Field{zap.String("forwarded_to", f.host)} }
-
-func (f forwardedTo) recordOutcome(_, outcome string) { f.relay.cfg.Observer.Forwarded(outcome) }
