--- a/internal/forward/requests_test.go
+++ b/internal/forward/requests_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -253,3 +255,70 @@
 	g.Expect(err).To(HaveOccurred(), "a response that was given up is not whole, whatever the other host sends last")
 	g.Expect(out.Response.Body.Close()).To(Succeed())
 }
+
+// Of three failure domains with a hundred hosts each, all but one of the first are cut off
+// and pass on what they get. No host gets more than a twentieth of that.
+func TestLoadOfADomainThatIsCutOffIsSpread(t *testing.T) {
+	const (
+		perDomain = 100
+		requests  = 20 // of each host
+	)
+	g := NewWithT(t)
+	var hosts []forward.HostInfo
+	h := &helpers{handlers: make(map[string]handlerFunc)}
+	served := make(map[string]int)
+	for i := range 3 * perDomain {
+		id := fmt.Sprint("host-", i)
+		hosts = append(hosts, forward.HostInfo{ID: id, Domain: fmt.Sprint("domain-", i/perDomain)})
+		h.handlers[id] = answer("done")
+		if i > 0 && i < perDomain {
+			h.handlers[id] = refuse(relay.ReasonUnreachable)
+		}
+	}
+	for i := 1; i < perDomain; i++ {
+		others := slices.Concat(hosts[:i], hosts[i+1:])
+		f := forward.NewRequestForwarder(hosts[i], h.open, func() []forward.HostInfo { return others }, zap.NewNop())
+		for range requests {
+			out, err := f.Forward(t.Context(), newCall())
+			g.Expect(err).NotTo(HaveOccurred())
+			served[out.Host]++
+			g.Expect(out.Response.Body.Close()).To(Succeed())
+		}
+	}
+	for host, count := range served {
+		g.Expect(count).To(BeNumerically("<=", requests*perDomain/20), host)
+	}
+	g.Expect(len(h.opened)).To(BeNumerically("<", 2*requests*perDomain), "hosts that cannot help are remembered")
+}
+
+func TestHostTakesABoundedNumberOfRequestsOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	server := forward.NewRequestServer(handlerFunc(func(_ context.Context, _ *relay.Request, w relay.ResponseWriter) {
+		<-release
+		w.WriteResponse(http.StatusOK, http.Header{}, nil)
+	}), func() bool { return false })
+	open := func(context.Context, string, string) (forward.Stream, error) {
+		near, far := newPipe()
+		go func() { _ = server.Serve(context.Background(), far); _ = far.Close() }()
+		return near, nil
+	}
+	f := forward.NewRequestForwarder(forward.HostInfo{ID: "self"}, open, func() []forward.HostInfo { return []forward.HostInfo{{ID: "a"}} }, zap.NewNop())
+	results := make(chan error, 100)
+	for range cap(results) {
+		go func() {
+			_, err := f.Forward(context.Background(), newCall())
+			results <- err
+		}()
+	}
+	refused := 0
+	for range cap(results) - 64 {
+		g.Expect(<-results).To(MatchError(relay.ErrNoHost))
+		refused++
+	}
+	close(release)
+	for range 64 {
+		g.Expect(<-results).NotTo(HaveOccurred())
+	}
+	g.Expect(refused).To(Equal(36))
+}
