--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -84,6 +84,19 @@
 	return h.delta, after <= h.delta.Revision
 }
 
+// setDelta sets the changes that the host knows.
+func (h *host) setDelta(delta follow.Delta) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.delta = delta
+}
+
+func (h *host) currentDelta() follow.Delta {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.delta
+}
+
 func (h *host) Changed() <-chan struct{} { return h.changed }
 
 func freeAddr(g *WithT) netip.AddrPort {
@@ -199,14 +212,14 @@
 	g := NewWithT(t)
 	hosts := startFleet(t, "north", "north", "south")
 	staleDelta := follow.Delta{Revision: 5, AgeMillis: time.Minute.Milliseconds()}
-	hosts[1].delta = staleDelta
-	hosts[2].delta = follow.Delta{Revision: 6, AgeMillis: 20, Entries: []follow.Entry{{Key: "k", Value: []byte("v"), Revision: 6}}}
+	hosts[1].setDelta(staleDelta)
+	hosts[2].setDelta(follow.Delta{Revision: 6, AgeMillis: 20, Entries: []follow.Entry{{Key: "k", Value: []byte("v"), Revision: 6}}})
 	ask := func() (follow.Delta, error) {
 		return hosts[0].Ask(t.Context(), 5, 50*time.Millisecond, time.Second)
 	}
-	g.Eventually(ask, eventuallyTimeout).Should(Equal(hosts[2].delta))
+	g.Eventually(ask, eventuallyTimeout).Should(Equal(hosts[2].currentDelta()))
 	hosts[2].mu.Lock()
-	hosts[2].delta = staleDelta
+	hosts[2].setDelta(staleDelta)
 	hosts[2].mu.Unlock()
 	_, err := ask()
 	g.Expect(err).To(MatchError(follow.ErrPeersStale))
@@ -233,11 +246,11 @@
 	g := NewWithT(t)
 	hosts := startFleet(t, "north", "north")
 	value := []byte(strings.Repeat(`{"name":"r-1","host":"a.example","path_prefix":"/a"},`, 4000))
-	hosts[1].delta = follow.Delta{Revision: 6, AgeMillis: 20, Entries: []follow.Entry{{Key: "k", Value: value, Revision: 6}}}
+	hosts[1].setDelta(follow.Delta{Revision: 6, AgeMillis: 20, Entries: []follow.Entry{{Key: "k", Value: value, Revision: 6}}})
 	ask := func() (follow.Delta, error) {
 		return hosts[0].Ask(t.Context(), 5, 50*time.Millisecond, time.Second)
 	}
-	g.Eventually(ask, eventuallyTimeout).Should(Equal(hosts[1].delta))
+	g.Eventually(ask, eventuallyTimeout).Should(Equal(hosts[1].currentDelta()))
 }
 
 // A host whose view is too old for the request responds at once instead of waiting
@@ -245,7 +258,7 @@
 func TestHostWithStaleViewAnswersImmediately(t *testing.T) {
 	g := NewWithT(t)
 	hosts := startFleet(t, "north", "north")
-	hosts[1].delta = follow.Delta{Revision: 5, AgeMillis: 5000}
+	hosts[1].setDelta(follow.Delta{Revision: 5, AgeMillis: 5000})
 	g.Eventually(func() error {
 		ctx, cancel := context.WithTimeout(t.Context(), eventuallyTimeout)
 		defer cancel()
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,10 +18,28 @@
 // settleTime is longer than peers' reports take.
 const settleTime = time.Second
 
-func newTracker() (*quarantine.Tracker, *[]quarantine.Answers) {
-	reports := &[]quarantine.Answers{}
+// reportLog records what a tracker reports, from any goroutine.
+type reportLog struct {
+	mu      sync.Mutex
+	reports []quarantine.Answers
+}
+
+func (l *reportLog) add(a quarantine.Answers) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reports = append(l.reports, a)
+}
+
+func (l *reportLog) all() []quarantine.Answers {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.reports)
+}
+
+func newTracker() (*quarantine.Tracker, *reportLog) {
+	reports := &reportLog{}
 	return quarantine.New(quarantine.Config{
-		Now: time.Now, Report: func(a quarantine.Answers) { *reports = append(*reports, a) },
+		Now: time.Now, Report: reports.add,
 		HostCount: func() int { return 7 }, Log: zap.NewNop(),
 	}), reports
 }
@@ -99,8 +119,8 @@
 		time.Sleep(settleTime)
 		g.Expect(quarantined(tr, "popular")).To(BeFalse())
 		g.Expect(quarantined(tr, "elsewhere")).To(BeFalse())
-		g.Expect(*reports).To(HaveLen(1), "the answers are reported once")
-		g.Expect((*reports)[0].Part).To(Equal("popular"))
+		g.Expect(reports.all()).To(HaveLen(1), "the answers are reported once")
+		g.Expect(reports.all()[0].Part).To(Equal("popular"))
 	})
 }
 
@@ -126,11 +146,11 @@
 		tr.RecordAnswer([]string{"slow"})
 		g.Expect(quarantined(tr, "slow")).To(BeFalse())
 		time.Sleep(settleTime)
-		g.Expect(*reports).To(HaveLen(1))
-		g.Expect((*reports)[0].Count).To(BeNumerically(">", 0.9))
+		g.Expect(reports.all()).To(HaveLen(1))
+		g.Expect(reports.all()[0].Count).To(BeNumerically(">", 0.9))
 		tr.RecordAnswer([]string{"slow"})
 		time.Sleep(settleTime)
-		g.Expect(*reports).To(HaveLen(1), "later answers are not reported")
+		g.Expect(reports.all()).To(HaveLen(1), "later answers are not reported")
 	})
 }
 
