--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -218,9 +218,7 @@
 		return hosts[0].Ask(t.Context(), 5, 50*time.Millisecond, time.Second)
 	}
 	g.Eventually(ask, eventuallyTimeout).Should(Equal(hosts[2].currentDelta()))
-	hosts[2].mu.Lock()
 	hosts[2].setDelta(staleDelta)
-	hosts[2].mu.Unlock()
 	_, err := ask()
 	g.Expect(err).To(MatchError(follow.ErrPeersStale))
 }
