Follow: evacuated failure domains have no usable targets

Cause: an operator's request to evacuate a failure domain was not read, so all hosts went on sending there.

Change: evacuations are part of the view, like targets; placement, parts of joint prompts, retries, probes and forwarded requests leave these targets out. A placement whose targets have left the view while memory was reserved is dropped and made anew. If all targets are evacuated, requests are refused at once. An evacuation that a full listing lacks stays in force for the grace period of targets, since the store may have come back from an older copy.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -57,6 +57,7 @@
 	m.registerGauge("view_age_seconds", "Time since the view of the store was confirmed.", func() float64 { return f.Age().Seconds() })
 	m.registerGauge("store_calls", "Calls to the store.", func() float64 { calls, _ := f.Stats(); return float64(calls) })
 	m.registerGauge("store_failures", "Calls to the store without a usable answer.", func() float64 { _, failures := f.Stats(); return float64(failures) })
+	m.registerGauge("evacuated_domains", "Failure domains whose targets get no new requests.", func() float64 { return float64(f.EvacuatedDomains()) })
 	m.registerGauge("rate_limited_targets", "Targets that name a rate limit.", func() float64 { return float64(len(placer.RateLimits())) })
 	m.registerGauge("unreachable_services", "Services none of whose targets this host reaches.", func() float64 { return float64(placer.UnreachableServices()) })
 	return m
--- a/internal/follow/apply.go
+++ b/internal/follow/apply.go
@@ -18,12 +18,17 @@
 	catchingUp := f.disconnected
 	changed := f.config == nil
 	listed := make(map[string]struct{}, len(resp.Changes))
+	evacuated := make(map[string]struct{})
 	for _, c := range resp.Changes {
 		listed[c.TargetID] = struct{}{}
+		if c.Evacuation != nil {
+			evacuated[c.Evacuation.Domain] = struct{}{}
+		}
 		changed = f.applyChange(c, catchingUp, now) || changed
 	}
 	if complete {
 		changed = f.removeUnlisted(listed, catchingUp, now) || changed
+		f.evacuations.doubtUnlisted(evacuated, now)
 	}
 	f.revision = max(f.revision, resp.Revision)
 	if complete {
@@ -46,6 +51,8 @@
 	switch {
 	case c.Config != nil:
 		return f.applyConfig(c.Config, "store")
+	case c.Evacuation != nil:
+		return f.applyEvacuation(*c.Evacuation, c.Revision)
 	case c.TargetID == "":
 		return false
 	case c.Target == nil:
@@ -119,14 +126,14 @@
 	if !changed {
 		return
 	}
-	view := newView(f.config, f.revision, f.targets)
+	view := newView(f.config, f.revision, f.targets, f.evacuations)
 	f.view.Store(view)
 	if f.onChanged != nil {
 		f.onChanged(view)
 	}
 }
 
-// runExpiry periodically removes the targets whose grace period has ended.
+// runExpiry periodically removes the targets and evacuations whose grace period has ended.
 func (f *Follower) runExpiry(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
@@ -135,21 +142,20 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			f.expireTargets(now)
+			f.expire(now)
 		}
 	}
 }
 
-// expireTargets removes the targets whose grace period has ended. While the store
-// is unreachable it removes nothing, since a target can only register again
-// through the store.
-func (f *Follower) expireTargets(now time.Time) {
+// expire removes the targets and evacuations whose grace period has ended. While the store
+// is unreachable it removes nothing, since they can only come back through the store.
+func (f *Follower) expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.disconnected {
 		return
 	}
-	changed := false
+	changed := f.expireEvacuations(now)
 	for id, state := range f.targets {
 		if state.removeAt.IsZero() || now.Before(state.removeAt) {
 			continue
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -66,6 +66,7 @@
 
 	mu           sync.Mutex
 	targets      map[string]*targetState
+	evacuations  evacuations
 	config       *catalog.Config
 	revision     Revision
 	disconnected bool // the last call failed
@@ -75,8 +76,8 @@
 
 // New returns a Follower of source. It does nothing until Run is called.
 func New(source Source, log *zap.Logger) *Follower {
-	f := &Follower{source: source, log: log, sinceBoot: clock.SinceBoot, targets: make(map[string]*targetState)}
-	f.view.Store(newView(nil, 0, nil))
+	f := &Follower{source: source, log: log, sinceBoot: clock.SinceBoot, targets: make(map[string]*targetState), evacuations: make(evacuations)}
+	f.view.Store(newView(nil, 0, nil, nil))
 	f.history.changed = make(chan struct{})
 	return f
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -36,8 +36,11 @@
 	s.revision++
 	c.Revision = s.revision
 	c.Entry = follow.Entry{Key: "target/" + c.TargetID, Revision: s.revision, Removed: c.Config == nil && c.Target == nil}
-	if c.Config != nil {
+	switch {
+	case c.Config != nil:
 		c.Entry.Key = "config"
+	case c.Evacuation != nil:
+		c.Entry.Key, c.Entry.Removed = "evacuation/"+c.Evacuation.Domain, c.Evacuation.Lifted
 	}
 	s.changes = append(s.changes, c)
 	s.wakeLocked()
@@ -70,10 +73,9 @@
 	}
 	newest := make(map[string]follow.Change)
 	for _, c := range s.changes {
-		key := c.TargetID
-		newest[key] = c
-		if key != "" && c.Target == nil {
-			delete(newest, key)
+		newest[c.Entry.Key] = c
+		if c.Entry.Removed {
+			delete(newest, c.Entry.Key)
 		}
 	}
 	resp := follow.Response{Revision: s.revision}
@@ -232,7 +234,7 @@
 func TestCompactedHistoryTriggersList(t *testing.T) {
 	runFollower(t, func(g *WithT, s *fakeStore, f *follow.Follower) {
 		s.mu.Lock()
-		s.changes = append(s.changes, follow.Change{Revision: s.revision + 1, TargetID: "a"})
+		s.changes = append(s.changes, follow.Change{Revision: s.revision + 1, TargetID: "a", Entry: follow.Entry{Key: "target/a", Removed: true}})
 		s.revision++
 		s.mu.Unlock()
 		s.compact()
--- a/internal/follow/fuzz_test.go
+++ b/internal/follow/fuzz_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -149,6 +150,8 @@
 	at      time.Time
 	version int64
 	leaving map[string]bool // by id of each registered target
+	// evacuated holds the evacuated failure domains.
+	evacuated map[string]bool
 }
 
 // fleetSim simulates a store and hosts that share its changes. It records the
@@ -160,10 +163,12 @@
 	version int64
 	leaving map[string]bool
 	states  []storeState
+	// evacuated holds the failure domains that are evacuated now.
+	evacuated map[string]bool
 }
 
 func newFleetSim(ctx context.Context, bound time.Duration) *fleetSim {
-	sim := &fleetSim{store: newStore(), bound: bound, leaving: make(map[string]bool)}
+	sim := &fleetSim{store: newStore(), bound: bound, leaving: make(map[string]bool), evacuated: make(map[string]bool)}
 	sim.publish()
 	for i := range fleetHosts {
 		m := &member{fakeStore: sim.store, sim: sim, index: i, departures: make(map[departure]time.Time)}
@@ -185,7 +190,21 @@
 
 func (sim *fleetSim) register(id string, leaving bool) {
 	sim.leaving[id] = leaving
-	sim.store.put(registration(id, leaving))
+	c := registration(id, leaving)
+	c.Target.Domain = domainOf(id)
+	sim.store.put(c)
+	sim.recordState()
+}
+
+// domainOf returns the failure domain of a target: there is one for each.
+func domainOf(id string) string { return "domain-of-" + id }
+
+func (sim *fleetSim) evacuate(domain string, lifted bool) {
+	if sim.evacuated[domain] == !lifted {
+		return
+	}
+	sim.evacuated[domain] = !lifted
+	sim.store.put(follow.Change{Evacuation: &follow.Evacuation{Domain: domain, Lifted: lifted}})
 	sim.recordState()
 }
 
@@ -200,7 +219,7 @@
 	for id, l := range sim.leaving {
 		leaving[id] = l
 	}
-	sim.states = append(sim.states, storeState{at: time.Now(), version: sim.version, leaving: leaving})
+	sim.states = append(sim.states, storeState{at: time.Now(), version: sim.version, leaving: leaving, evacuated: maps.Clone(sim.evacuated)})
 }
 
 // stateBefore returns the state of the store just before a time.
@@ -230,6 +249,21 @@
 	return last
 }
 
+// lastOpen returns when a failure domain was last not evacuated.
+func (sim *fleetSim) lastOpen(domain string) time.Time {
+	var last time.Time
+	for i, s := range sim.states {
+		if s.evacuated[domain] {
+			continue
+		}
+		last = time.Now()
+		if i+1 < len(sim.states) {
+			last = sim.states[i+1].at
+		}
+	}
+	return last
+}
+
 // check reports a violation for each host whose view breaks an invariant of
 // TestFuzzFleetFollowsStore.
 func (sim *fleetSim) check(reportViolation func(string, ...any)) {
@@ -257,6 +291,9 @@
 			if connected && due.leaving[target.ID] && now.Sub(sim.lastUsable(target.ID)) > sim.bound {
 				reportViolation("host %d is connected to the store and uses target %s, which announced more than %v ago that it is leaving", m.index, target.ID, sim.bound)
 			}
+			if open := sim.lastOpen(domainOf(target.ID)); now.Sub(open) > sim.bound && (connected || !open.After(now.Add(-age))) {
+				reportViolation("host %d uses target %s, whose failure domain has been evacuated for %v", m.index, target.ID, now.Sub(open))
+			}
 			if kept := now.Sub(m.awareSince(target.ID, sim.lastUsable(target.ID), now.Add(-age))); kept > maxRetention {
 				reportViolation("host %d uses target %s %v after its view covered the departure", m.index, target.ID, kept)
 			}
@@ -271,7 +308,7 @@
 	pause time.Duration
 }
 
-var stepKinds = []string{"publish", "publish", "storm", "register", "leave", "remove", "refuse", "hang", "open", "deafen", "hear", "compact", "down", "up", "wait"}
+var stepKinds = []string{"publish", "publish", "storm", "register", "leave", "remove", "evacuate", "lift", "refuse", "hang", "open", "deafen", "hear", "compact", "down", "up", "wait"}
 
 func drawStep(t *rapid.T) step {
 	return step{
@@ -303,6 +340,10 @@
 		}
 	case "remove":
 		sim.remove(id)
+	case "evacuate":
+		sim.evacuate(domainOf(id), false)
+	case "lift":
+		sim.evacuate(domainOf(id), true)
 	case "refuse":
 		m.storePath.Store(pathRefused)
 	case "hang":
@@ -335,7 +376,7 @@
 // Under any faults of the store, of the paths to it and between hosts: no host
 // returns to an older configuration; no host reports a view age that is too low; a
 // host that is connected to the store has each change within the bound and stops
-// using a leaving target within it; and once all faults are gone, all hosts
+// using a leaving target, and those of an evacuated failure domain, within it; and once all faults are gone, all hosts
 // converge on the published state.
 func TestFuzzFleetFollowsStore(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -390,7 +431,7 @@
 func (sim *fleetSim) expectConverged(reportViolation func(string, ...any)) {
 	var want []string
 	for id, leaving := range sim.leaving {
-		if !leaving {
+		if !leaving && !sim.evacuated[domainOf(id)] {
 			want = append(want, id)
 		}
 	}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -29,13 +29,22 @@
 	Removed  bool
 }
 
-// Change is a decoded Entry. Exactly one of Config and TargetID is set; neither is
-// set if the entry cannot be decoded.
+// Evacuation says whether the targets of a failure domain are to get no new requests,
+// as an operator has asked.
+type Evacuation struct {
+	Domain string
+	Lifted bool // the operator has taken it back
+}
+
+// Change is a decoded Entry. Exactly one of Config, Evacuation and TargetID is set; none
+// is set if the entry cannot be decoded.
 type Change struct {
 	Entry    Entry
 	Revision Revision
 	Config   *catalog.Config
-	TargetID string
+	// Evacuation is the start or the end of an evacuation.
+	Evacuation *Evacuation
+	TargetID   string
 	// Target is the registration; nil if it was removed or describes no usable
 	// target.
 	Target *catalog.Target
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -61,9 +61,9 @@
 		return j.handleReserveFailure(ctx)
 	}
 	defer reservations.release()
-	if j.relay.cfg.Placer.Declines(placed.Primary) { // since memory was reserved
+	if reason := j.withdrawn(placed); reason != "" { // since memory was reserved
 		placed.End(placement.Abandoned)
-		return resultPostponed, ReasonTargetsResting
+		return resultPostponed, reason
 	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -107,6 +107,24 @@
 	return j.relay.cfg.Placer.Place(req, targets)
 }
 
+// withdrawn returns why a placement must not be used any more: a target wants no requests
+// now, or has left the view since the placement was made. It returns "" if it may be used.
+func (j *job) withdrawn(placed *placement.Placement) Reason {
+	if j.relay.cfg.Placer.Declines(placed.Primary) {
+		return ReasonTargetsResting
+	}
+	view := j.relay.cfg.Views.View()
+	if !view.Usable(placed.Primary.TargetKey) {
+		return ReasonNoTarget
+	}
+	for _, part := range placed.Parts {
+		if !view.Usable(part.Target.TargetKey) {
+			return ReasonNoTarget
+		}
+	}
+	return ""
+}
+
 // errInfeasible means that a prompt does not fit into the memory of all engines that it
 // could be split over.
 var errInfeasible = errors.New("prompt exceeds the memory of the engines")
@@ -118,6 +136,8 @@
 		return ReasonInfeasible
 	case j.reserveFailed:
 		return ReasonNoMemory
+	case j.relay.cfg.Views.View().AllEvacuated(j.serviceName):
+		return ReasonEvacuated
 	}
 	return ReasonNoTarget
 }
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -74,7 +74,9 @@
 	k.view = view
 }
 
-func newStaticView(s *fakeSource) *staticView {
+func newStaticView(s *fakeSource) *staticView { return newStaticViewOf(s) }
+
+func newStaticViewOf(s follow.Source) *staticView {
 	f := follow.New(s, zap.NewNop())
 	changed := make(chan *follow.View, 1)
 	f.OnChanged(func(v *follow.View) { changed <- v })
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -21,6 +21,7 @@
 	ReasonNoRoute           Reason = "no_route"     // not executed: no route matches
 	ReasonConfigUnconfirmed Reason = "unconfirmed"  // not executed: the configuration is missing or its confirmation is too old
 	ReasonNoTarget          Reason = "no_target"    // not executed: no usable target
+	ReasonEvacuated         Reason = "evacuated"    // not executed: all targets are in evacuated failure domains
 	ReasonUnreachable       Reason = "unreachable"  // not executed: this host reaches no target, and no other host takes the request
 	ReasonOverloaded        Reason = "overloaded"   // not executed: this host takes no more requests of others for now
 	ReasonDraining          Reason = "draining"     // not executed: this host takes no requests of others any more
@@ -54,6 +55,7 @@
 	ReasonNoUsableResponse:  http.StatusBadGateway,
 	ReasonConfigUnconfirmed: http.StatusServiceUnavailable,
 	ReasonNoTarget:          http.StatusServiceUnavailable,
+	ReasonEvacuated:         http.StatusServiceUnavailable,
 	ReasonUnreachable:       http.StatusServiceUnavailable,
 	ReasonOverloaded:        http.StatusServiceUnavailable,
 	ReasonDraining:          http.StatusServiceUnavailable,
@@ -70,6 +72,7 @@
 var retryAfterByReason = map[Reason]time.Duration{
 	ReasonConfigUnconfirmed: 50 * time.Millisecond, // another host may have a confirmed configuration
 	ReasonNoTarget:          400 * time.Millisecond,
+	ReasonEvacuated:         time.Second,            // an operator ends it
 	ReasonUnreachable:       300 * time.Millisecond, // another host may reach the targets
 	ReasonOverloaded:        300 * time.Millisecond,
 	ReasonDraining:          50 * time.Millisecond,
