Placement: cold targets get no more requests than they accept; requests stay in permitted regions

Cause: nothing read what the store says of cold targets (a rate for all hosts together, and how long a target stays cold), nor the regions of routes and organisations.

Change: the token bucket of limits that targets name also keeps the limit of a cold target. A target that did not answer counts as cold until it has answered for as long as a start takes, since it may have restarted unregistered; hosts report such targets to each other, two reports are needed, and a host reports only while another target answers it. A host that knows no peer uses cold targets only if there are no others.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -54,6 +55,7 @@
 	MaxAttempts int           // attempts that may run one request
 	Public      bool          // requires no key
 	Resumable   bool          // a stream may continue at another target
+	Regions     Regions       // where requests may run
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -107,12 +109,26 @@
 	MaxConns   int     // connections that a target accepts from all hosts
 	HealthPath string  // where a target tells whether it is healthy
 	Engine     *Engine // nil for a plain service
+	// ColdRate is the number of requests per second that a cold target accepts from all
+	// hosts together, 0 for no limit; ColdPeriod is how long a target is cold after a start.
+	ColdRate   float64
+	ColdPeriod time.Duration
 }
 
 // Organisation is a customer that authenticates with keys.
 type Organisation struct {
 	Name     string
-	Priority int // 0 is the highest
+	Priority int     // 0 is the highest
+	Regions  Regions // where its requests may run
+}
+
+// Regions are the regions in which requests may run; none means everywhere.
+type Regions []string
+
+// Permit reports whether requests may run in a region. A region that is not known, "", is
+// permitted only if all are.
+func (r Regions) Permit(region string) bool {
+	return len(r) == 0 || (region != "" && slices.Contains(r, region))
 }
 
 // Limits holds the size and time limits for callers' requests.
@@ -137,4 +153,8 @@
 	Domain  string // failure domain
 	Slots   int    // requests that run at once
 	Leaving bool   // draining: takes no new requests
+	// ColdFor is how much longer the target is cold as of its registration. In a view,
+	// ColdUntil is when that ends, zero if it is not cold.
+	ColdFor   time.Duration
+	ColdUntil time.Time
 }
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -92,6 +92,9 @@
 		Seeds: settings.Seeds, OnHosts: h.forward.setHosts, Placer: h.placer, Log: log,
 	})
 	h.placer.SetObserver(h.peers)
+	if settings.expectsPeers() {
+		h.placer.ExpectPeers()
+	}
 	budget, err := newRetryBudget(settings, h.peers.HostCount)
 	if err != nil {
 		return nil, eris.Wrap(err, "retry budget")
@@ -110,6 +113,7 @@
 		Log:         log,
 		Settings:    relaySettings(settings),
 		HostID:      settings.HostID,
+		Regions:     settings.Regions,
 	})
 	h.metrics.observeQuarantine(h.relay)
 	h.peers.Attach(h.relay, h.follower)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -59,6 +59,7 @@
 	m.registerGauge("store_failures", "Calls to the store without a usable answer.", func() float64 { _, failures := f.Stats(); return float64(failures) })
 	m.registerGauge("evacuated_domains", "Failure domains whose targets get no new requests.", func() float64 { return float64(f.EvacuatedDomains()) })
 	m.registerGauge("rate_limited_targets", "Targets that name a rate limit.", func() float64 { return float64(len(placer.RateLimits())) })
+	m.registerGauge("cold_targets", "Targets whose requests are limited since they are cold.", func() float64 { return float64(placer.ColdTargets()) })
 	m.registerGauge("unreachable_services", "Services none of whose targets this host reaches.", func() float64 { return float64(placer.UnreachableServices()) })
 	return m
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -6,14 +6,17 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
 // Settings configures an entry host. Host.Reload applies the settings that can
 // change while the host runs.
 type Settings struct {
-	HostID      string
-	Domain      string // failure domain
+	HostID string
+	Domain string // failure domain
+	// Regions holds the region of each failure domain.
+	Regions     map[string]string
 	CallersAddr netip.AddrPort
 	ReadyAddr   netip.AddrPort
 	PeersAddr   netip.AddrPort // disabled if zero
@@ -44,3 +47,8 @@
 	// while no request uses it; 0 for no limit.
 	MaxIdleReservation time.Duration
 }
+
+// expectsPeers reports whether there are other hosts: a seed that is not this host.
+func (s Settings) expectsPeers() bool {
+	return slices.ContainsFunc(s.Seeds, func(seed netip.AddrPort) bool { return seed != s.PeersAddr })
+}
--- a/internal/follow/apply.go
+++ b/internal/follow/apply.go
@@ -58,7 +58,7 @@
 	case c.Target == nil:
 		return f.applyRemoval(c.TargetID, c.Revision, catchingUp, now)
 	default:
-		return f.applyRegistration(c)
+		return f.applyRegistration(c, now)
 	}
 }
 
@@ -74,21 +74,32 @@
 
 // applyRegistration adds or updates a target and cancels its pending removal. It
 // ignores a registration older than the one it has.
-func (f *Follower) applyRegistration(c Change) bool {
+func (f *Follower) applyRegistration(c Change, now time.Time) bool {
 	old, known := f.targets[c.TargetID]
 	if known && c.Revision < old.revision {
 		return false
 	}
-	f.targets[c.TargetID] = &targetState{target: *c.Target, revision: c.Revision}
-	if known && old.target == *c.Target && old.removeAt.IsZero() {
-		return false
+	target := *c.Target
+	if target.ColdFor > 0 {
+		target.ColdUntil = now.Add(target.ColdFor)
+	}
+	f.targets[c.TargetID] = &targetState{target: target, revision: c.Revision}
+	if known && sameButCold(old.target, target) && old.removeAt.IsZero() {
+		return old.target.ColdFor != target.ColdFor
 	}
 	f.log.Info("target registered",
 		zap.String("target", c.TargetID), zap.Int64("born", c.Target.StartUnixMilli), zap.String("service", c.Target.Service),
-		zap.Bool("leaving", c.Target.Leaving), zap.Int64("revision", int64(c.Revision)))
+		zap.Bool("leaving", c.Target.Leaving), zap.Duration("cold_for", target.ColdFor), zap.Int64("revision", int64(c.Revision)))
 	return true
 }
 
+// sameButCold reports whether two registrations differ at most in how long the target is
+// cold, which changes with each heartbeat.
+func sameButCold(a, b catalog.Target) bool {
+	a.ColdFor, a.ColdUntil = b.ColdFor, b.ColdUntil
+	return a == b
+}
+
 // applyRemoval removes a target. One that was removed while the store was
 // unreachable is kept for removalGracePeriod, unless it was leaving: its
 // registration may only have expired because it could not be renewed.
--- a/internal/forward/helpers.go
+++ b/internal/forward/helpers.go
@@ -40,14 +40,15 @@
 	return &helperPicker{self: self, hosts: hosts, asked: make(map[string]int), notAsk: make(map[string]time.Time)}
 }
 
-// pick returns the hosts to offer a request to, the preferred ones first. Hosts of the
+// pick returns the hosts to offer a request to, the preferred ones first, in failure
+// domains that permits allows. Hosts of the
 // own failure domain come first unless most of those that this host knows to ask there
 // cannot help: the few that can would get the requests of the whole domain.
-func (p *helperPicker) pick(count int) []string {
+func (p *helperPicker) pick(count int, permits func(domain string) bool) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire()
-	own, others := p.groups()
+	own, others := p.groups(permits)
 	near, nearUsable := p.usable(own)
 	far, _ := p.usable(others)
 	first, second := near, far
@@ -58,8 +59,11 @@
 }
 
 // groups returns the ids of the hosts of the own failure domain and of the others.
-func (p *helperPicker) groups() (own, others []string) {
+func (p *helperPicker) groups(permits func(domain string) bool) (own, others []string) {
 	for _, h := range p.hosts() {
+		if permits != nil && !permits(h.Domain) {
+			continue
+		}
 		if h.Domain == p.self.Domain {
 			own = append(own, h.ID)
 		} else {
--- a/internal/forward/requests.go
+++ b/internal/forward/requests.go
@@ -67,7 +67,7 @@
 // so before it has done anything.
 func (f *RequestForwarder) Forward(ctx context.Context, call relay.ForwardCall) (*relay.Forwarded, error) {
 	call.Host = f.self.ID
-	for _, host := range f.helpers.pick(maxOffers) {
+	for _, host := range f.helpers.pick(maxOffers, call.Permits) {
 		out, err := f.offer(ctx, host, call)
 		if err != nil || out != nil {
 			return out, err
--- a/internal/forward/requests_test.go
+++ b/internal/forward/requests_test.go
@@ -322,3 +322,20 @@
 	}
 	g.Expect(refused).To(Equal(36))
 }
+
+func TestRequestIsOfferedOnlyInPermittedDomains(t *testing.T) {
+	g := NewWithT(t)
+	h := &helpers{handlers: map[string]handlerFunc{"a": answer("a"), "b": answer("b")}}
+	f := h.forwarder(forward.HostInfo{ID: "a", Domain: "north"}, forward.HostInfo{ID: "b", Domain: "south"})
+	call := newCall()
+	call.Permits = func(domain string) bool { return domain == "south" }
+	for range 5 {
+		out, err := f.Forward(context.Background(), call)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(out.Host).To(Equal("b"))
+	}
+	call.Permits = func(string) bool { return false }
+	_, err := f.Forward(context.Background(), call)
+	g.Expect(err).To(MatchError(relay.ErrNoHost))
+	g.Expect(h.opened).NotTo(ContainElement("a"))
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -25,6 +25,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/peers/peerspb"
 	"github.com/plantainrun/plantainrun/internal/placement"
 	"github.com/plantainrun/plantainrun/internal/quarantine"
@@ -249,6 +250,12 @@
 	s.broadcast(func(n *peerspb.News) { n.Ended = append(n.Ended, uint64(id)) })
 }
 
+// TargetSuspectedCold tells peers that a target may be cold.
+func (s *Service) TargetSuspectedCold(service string, target catalog.TargetKey) {
+	pb := &peerspb.ColdTarget{Service: service, Target: target.ID, Born: target.StartUnixMilli}
+	s.broadcast(func(n *peerspb.News) { n.ColdTargets = append(n.ColdTargets, pb) })
+}
+
 // Crashed tells peers that a request broke off at a target.
 func (s *Service) Crashed(c quarantine.Crash) {
 	pb := encodeCrash(c)
@@ -320,6 +327,9 @@
 	for _, id := range n.GetEnded() {
 		s.cfg.Placer.RemoteEnded(host, placement.JobID(id))
 	}
+	for _, c := range n.GetColdTargets() {
+		s.cfg.Placer.RecordPeerSuspectedCold(host, c.GetService(), catalog.TargetKey{ID: c.GetTarget(), StartUnixMilli: c.GetBorn()})
+	}
 	for _, c := range n.GetCrashes() {
 		s.quarantine.RecordPeerCrash(decodeCrash(c))
 	}
--- a/internal/peers/relayed.go
+++ b/internal/peers/relayed.go
@@ -25,13 +25,14 @@
 // newRelayed returns the message that relays a host's update, or nil if the update
 // reports nothing to relay and is not the first one of a connection.
 func newRelayed(origin string, n *peerspb.News, first bool) *peerspb.Relayed {
-	updates := len(n.GetStarted()) + len(n.GetRead()) + len(n.GetEnded()) + len(n.GetCrashes()) + len(n.GetRateLimits()) + len(n.GetAnswers()) + len(n.GetQuarantinedParts())
+	updates := len(n.GetStarted()) + len(n.GetRead()) + len(n.GetEnded()) + len(n.GetCrashes()) + len(n.GetRateLimits()) + len(n.GetAnswers()) + len(n.GetQuarantinedParts()) + len(n.GetColdTargets())
 	if updates == 0 && !first {
 		return nil
 	}
 	return &peerspb.Relayed{Origin: origin, First: first, News: &peerspb.News{
 		Started: n.GetStarted(), Read: n.GetRead(), Ended: n.GetEnded(), Crashes: n.GetCrashes(),
 		RateLimits: n.GetRateLimits(), Answers: n.GetAnswers(), QuarantinedParts: n.GetQuarantinedParts(),
+		ColdTargets: n.GetColdTargets(),
 	}}
 }
 
--- a/internal/placement/job.go
+++ b/internal/placement/job.go
@@ -35,6 +35,9 @@
 	JobStarted(Job)
 	JobPrefilled(JobID)
 	JobEnded(JobID)
+	// TargetSuspectedCold reports a target that does not answer this host, or does so again,
+	// so that it may have restarted.
+	TargetSuspectedCold(service string, target catalog.TargetKey)
 }
 
 // noopObserver is the default observer.
@@ -44,6 +47,8 @@
 func (noopObserver) JobPrefilled(JobID) {}
 func (noopObserver) JobEnded(JobID)     {}
 
+func (noopObserver) TargetSuspectedCold(string, catalog.TargetKey) {}
+
 // trackedJob is a job that counts towards the load of its targets.
 type trackedJob struct {
 	Job
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -62,6 +62,7 @@
 	ejectionTime  time.Duration // last ejection as unreachable; 0 once an attempt is served
 	unreachableAt time.Time     // last attempt that got no answer
 	answeredAt    time.Time     // last answer
+	coldState     coldState
 }
 
 // add adds a job's share.
@@ -147,10 +148,10 @@
 	switch r {
 	case Served:
 		l.ejectionTime = 0
-		l.answeredAt = now
+		l.recordAnswer(now)
 	case Shed:
 		l.ejectedUntil = now.Add(shedEjection)
-		l.answeredAt = now
+		l.recordAnswer(now)
 		failure = 0.5
 	case Misdirected:
 		l.ejectedUntil = now.Add(misdirectedEjection)
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -135,6 +135,7 @@
 func (r jobReporter) JobPrefilled(id placement.JobID) {
 	r.broadcast(func(pl *placement.Placer, host string) { pl.RemotePrefilled(host, id) })
 }
+func (r jobReporter) TargetSuspectedCold(string, catalog.TargetKey) {}
 func (r jobReporter) JobEnded(id placement.JobID) {
 	r.broadcast(func(pl *placement.Placer, host string) { pl.RemoteEnded(host, id) })
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,6 +28,11 @@
 	MaxEventGap  time.Duration // largest gap between two events of a timely stream
 	AbandonAfter time.Duration // wait for an event after which the caller is assumed to disconnect; 0 if unknown
 	Waited       time.Duration // since the request's arrival
+	// ColdRate is the number of requests per second that a cold target of the service accepts
+	// from all hosts together, 0 for no limit; ColdPeriod is how long a target is cold after
+	// a start.
+	ColdRate   float64
+	ColdPeriod time.Duration
 	// ExcludedTargets lists the ids of targets already tried for this request.
 	ExcludedTargets []string
 }
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -24,6 +24,7 @@
 	propagationDelay    atomic.Int64 // of peers' job updates, in nanoseconds
 	countedHosts        atomic.Int64 // hosts whose jobs this host knows, this one included
 	knownHosts          atomic.Int64 // all hosts, this one included
+	expectsPeers        atomic.Bool  // there are other hosts, known or not
 
 	mu     sync.RWMutex
 	shards map[string]*shard
@@ -38,8 +39,9 @@
 	local       map[JobID]*trackedJob
 	remote      map[string]map[JobID]*trackedJob // by peer
 	demand      demand
-	targetCount int  // targets of the service in the latest call of Place
-	ownAttempts rate // calls of Place, by this host alone
+	coldPeriod  time.Duration // published with the service, as of the latest call of Place
+	targetCount int           // targets of the service in the latest call of Place
+	ownAttempts rate          // calls of Place, by this host alone
 	// reachability is judged by this host's own attempts.
 	reachability reachability
 	random       *rand.Rand
@@ -126,6 +128,7 @@
 	view := pl.fleetView()
 	s.ownAttempts.add(1, now)
 	s.targetCount = len(targets)
+	s.coldPeriod = req.ColdPeriod
 	candidates, helpers, err := s.candidates(req, targets, view, now)
 	if err != nil {
 		return nil, err
@@ -163,6 +166,7 @@
 		}
 		l := s.load(t.TargetKey)
 		l.target = t
+		l.coldState.limits = coldLimits{perSecond: req.ColdRate, period: req.ColdPeriod}
 		if l.leaving {
 			continue
 		}
@@ -171,8 +175,11 @@
 			deferred = deferred.earlier(DeferredError{RetryAfter: rest, OnlyHere: true})
 			continue
 		}
+		l.limitCold(now)
 		wait := s.rateLimitWait(l, view, now)
 		switch {
+		case l.limiter.cold.Named && view.isolated():
+			unhealthy = append(unhealthy, l) // this host cannot tell its share
 		case wait > 0:
 			deferred = deferred.earlier(DeferredError{RetryAfter: wait})
 			if healthy {
@@ -276,6 +283,7 @@
 	defer s.mu.Unlock()
 	if l := s.loads[t.TargetKey]; l != nil {
 		l.recordResult(result, pl.now())
+		pl.reportCold(s, l, pl.now())
 	}
 }
 
@@ -340,7 +348,8 @@
 	now := p.placer.now()
 	p.shard.markPrefilled(p.job, now)
 	if l := p.shard.loads[p.Primary.TargetKey]; l != nil {
-		l.answeredAt = now
+		l.recordAnswer(now)
+		p.placer.reportCold(p.shard, l, now)
 	}
 	p.placer.recordReachability(p.shard, p.Primary.TargetKey, Served, now)
 	p.placer.observer.JobPrefilled(p.job.ID)
@@ -360,6 +369,7 @@
 	delete(p.shard.local, p.job.ID)
 	if l := p.shard.loads[p.Primary.TargetKey]; l != nil {
 		l.recordResult(result, now)
+		p.placer.reportCold(p.shard, l, now)
 	}
 	p.placer.recordReachability(p.shard, p.Primary.TargetKey, result, now)
 	p.placer.observer.JobEnded(p.job.ID)
--- a/internal/placement/ratelimit.go
+++ b/internal/placement/ratelimit.go
@@ -54,11 +54,13 @@
 	return &other
 }
 
-// rateLimiter is a token bucket for the requests that all hosts send to one target. It
+// rateLimiter is a token bucket for the requests that all hosts send to one target, by the
+// lower of the limit that the target names and the one of its cold state. It
 // counts the requests of this host and those that peers report. Hosts that have not yet
 // heard of each other's requests may overdraw it; later requests make up for that.
 type rateLimiter struct {
-	limit     RateLimit
+	limit     RateLimit // that the target names
+	cold      RateLimit // while the target is cold
 	namedAt   time.Time // when this host last learned of a limit
 	tokens    float64   // requests that may be sent; negative after an overdraft
 	updatedAt time.Time
@@ -84,17 +86,44 @@
 	if r.limit == limit {
 		return false
 	}
-	if !r.limit.Named {
+	if !r.limited() {
 		r.tokens, r.updatedAt = 0, now
 	}
 	r.limit = limit
 	return true
 }
 
+// setCold replaces the limit of the target's cold state. The bucket starts with a debt,
+// for the requests that hosts have sent to an idle target before they learned of its state.
+func (r *rateLimiter) setCold(limit RateLimit, now time.Time) {
+	if r.cold == limit {
+		return
+	}
+	if !r.limited() {
+		r.tokens, r.updatedAt = -limit.PerSecond*burstTime.Seconds(), now
+	}
+	r.cold = limit
+}
+
+// limited reports whether a limit is in force.
+func (r *rateLimiter) limited() bool { return r.limit.Named || r.cold.Named }
+
+// perSecond is the lowest limit in force.
+func (r *rateLimiter) perSecond() float64 {
+	switch {
+	case !r.cold.Named:
+		return r.limit.PerSecond
+	case !r.limit.Named:
+		return r.cold.PerSecond
+	default:
+		return min(r.limit.PerSecond, r.cold.PerSecond)
+	}
+}
+
 // rate is the number of requests per second to send. share is the fraction of all
 // hosts whose requests this host counts; the others may use the rest of the limit.
 func (r *rateLimiter) rate(share float64) float64 {
-	return max(r.limit.PerSecond, minLimitedRate) * share
+	return max(r.perSecond(), minLimitedRate) * share
 }
 
 // refill adds the tokens for the time since the last update.
@@ -106,7 +135,7 @@
 
 // take counts one request.
 func (r *rateLimiter) take(share float64, now time.Time) {
-	if !r.limit.Named {
+	if !r.limited() {
 		return
 	}
 	r.refill(share, now)
@@ -115,7 +144,7 @@
 
 // wait returns the time until a request may be sent; 0 if one may be sent now.
 func (r *rateLimiter) wait(share float64, now time.Time) time.Duration {
-	if !r.limit.Named {
+	if !r.limited() {
 		return 0
 	}
 	r.refill(share, now)
@@ -130,8 +159,12 @@
 	countedHosts     int           // hosts whose requests are counted here, this one included
 	knownHosts       int           // all hosts, those included that are not heard from
 	propagationDelay time.Duration // until this host learns of peers' jobs
+	expectsPeers     bool          // there are other hosts, as far as the settings say
 }
 
+// isolated reports whether the host knows none of the other hosts that there must be.
+func (v fleetView) isolated() bool { return v.expectsPeers && v.knownHosts == 1 }
+
 // share is the fraction of all hosts whose requests are counted.
 func (v fleetView) share() float64 { return float64(v.countedHosts) / float64(v.knownHosts) }
 
@@ -143,7 +176,7 @@
 	if wait := l.limiter.wait(view.share(), now); wait > 0 {
 		return wait
 	}
-	if !l.limiter.limit.Named {
+	if !l.limiter.limited() {
 		return 0
 	}
 	unseen := s.ownAttempts.perSecond(now) * float64(view.countedHosts-1) * view.propagationDelay.Seconds()
@@ -168,8 +201,13 @@
 	pl.knownHosts.Store(int64(max(counted, known, 1)))
 }
 
+// ExpectPeers sets that there are other hosts, so that this one takes no whole limit for
+// itself while it knows none of them.
+func (pl *Placer) ExpectPeers() { pl.expectsPeers.Store(true) }
+
 func (pl *Placer) fleetView() fleetView {
 	return fleetView{
+		expectsPeers:     pl.expectsPeers.Load(),
 		countedHosts:     int(pl.countedHosts.Load()),
 		knownHosts:       int(pl.knownHosts.Load()),
 		propagationDelay: time.Duration(pl.propagationDelay.Load()),
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -99,7 +99,12 @@
 }
 
 func (j *job) place() (*placement.Placement, error) {
-	targets := j.relay.cfg.Views.View().Targets(j.serviceName)
+	view := j.relay.cfg.Views.View()
+	all := view.Targets(j.serviceName)
+	targets := j.permittedDomains(view).filter(all)
+	if len(targets) == 0 && len(all) > 0 {
+		return nil, errNotPermitted
+	}
 	req := j.placementRequest()
 	if len(targets) > 0 && !placement.Feasible(&req, len(targets)) {
 		return nil, errInfeasible
@@ -129,11 +134,16 @@
 // could be split over.
 var errInfeasible = errors.New("prompt exceeds the memory of the engines")
 
+// errNotPermitted means that all targets are in regions where the request may not run.
+var errNotPermitted = errors.New("no target in a permitted region")
+
 // placementReason is why a request that cannot be placed is refused.
 func (j *job) placementReason(err error) Reason {
 	switch {
 	case errors.Is(err, errInfeasible):
 		return ReasonInfeasible
+	case errors.Is(err, errNotPermitted):
+		return ReasonNotPermitted
 	case j.reserveFailed:
 		return ReasonNoMemory
 	case j.relay.cfg.Views.View().AllEvacuated(j.serviceName):
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -243,6 +244,10 @@
 	h.broadcast(func(peer *fleetHost) { peer.placer.RemoteEnded(h.id, id) })
 }
 
+func (h *fleetHost) TargetSuspectedCold(service string, target catalog.TargetKey) {
+	h.broadcast(func(peer *fleetHost) { peer.placer.RecordPeerSuspectedCold(h.id, service, target) })
+}
+
 func (h *fleetHost) Crashed(c quarantine.Crash) {
 	h.broadcast(func(peer *fleetHost) { peer.relay.RecordPeerCrash(c) })
 }
@@ -335,6 +340,7 @@
 	arrivals []arrival
 	rests    map[string]time.Duration // that targets ask for as they refuse requests
 	failing  map[string]bool          // targets whose requests fail
+	dark     map[string]bool          // targets that acknowledge nothing
 	engines  map[string]*fleetEngine  // by target; those that a prompt can crash
 	crashes  []time.Time              // ends of engines
 }
@@ -349,7 +355,7 @@
 func newFleetTargets(delay time.Duration) *fleetTargets {
 	return &fleetTargets{
 		delay: delay, limits: make(map[string]placement.RateLimit),
-		namedAt: make(map[string]time.Time), rests: make(map[string]time.Duration), failing: make(map[string]bool),
+		namedAt: make(map[string]time.Time), rests: make(map[string]time.Duration), failing: make(map[string]bool), dark: make(map[string]bool),
 	}
 }
 
@@ -375,6 +381,31 @@
 	t.rests[target] = rest
 }
 
+// setDark makes a target acknowledge nothing, or ends that.
+func (t *fleetTargets) setDark(target string, dark bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dark[target] = dark
+}
+
+// darkTimeout is how long a host waits for an acknowledgement.
+const darkTimeout = 600 * time.Millisecond
+
+// awaitLight returns an error after darkTimeout if a target acknowledges nothing.
+func (t *fleetTargets) awaitLight(ctx context.Context, target string) error {
+	t.mu.Lock()
+	dark := t.dark[target]
+	t.mu.Unlock()
+	if !dark {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(darkTimeout):
+	}
+	return &relay.SendError{MaybeSent: true, Unacknowledged: true, Cause: errors.New("no acknowledgement")}
+}
+
 // state returns the rest that a target asks for, and whether its requests fail.
 func (t *fleetTargets) state(target string) (rest time.Duration, failing bool) {
 	t.mu.Lock()
@@ -415,6 +446,9 @@
 	if err := tr.host.links.connect(ctx, call.Target.Service); err != nil {
 		return nil, err
 	}
+	if err := targets.awaitLight(ctx, id); err != nil {
+		return nil, err
+	}
 	limit := targets.arrive(id, call.Request, tr.host)
 	rest, failing := targets.state(id)
 	if err := tr.host.links.await(ctx, call.Target.Service, targets.delay); err != nil {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -37,6 +37,8 @@
 	// LastEventID is the id of the last event that the caller has received, empty for
 	// none.
 	LastEventID string
+	// Permits tells in which failure domains a host may get the request; nil for all.
+	Permits func(domain string) bool
 }
 
 // Origin describes a forwarded request as the host that got it from the caller had it.
@@ -105,9 +107,13 @@
 }
 
 func (j *job) forwardCall() ForwardCall {
+	view := j.relay.cfg.Views.View()
 	call := ForwardCall{Request: j.req, LastEventID: j.req.LastEventID, Origin: Origin{
-		Service: j.serviceName, ConfigVersion: j.relay.cfg.Views.View().Config.Version, TriedTargets: j.reachedTargets(), Resumes: j.responseStarted,
+		Service: j.serviceName, ConfigVersion: view.Config.Version, TriedTargets: j.reachedTargets(), Resumes: j.responseStarted,
 	}}
+	if permitted := j.permittedDomains(view); permitted.restricted() {
+		call.Permits = permitted.permit
+	}
 	if j.responseStarted {
 		call.LastEventID = j.seq.lastEventID()
 	}
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -121,6 +121,18 @@
 	return s
 }
 
+// confine confines all routes, and the organisation, to regions.
+func (s *fakeSource) confine(routes, organisation catalog.Regions) {
+	for _, path := range []string{"/order/", "/status/", "/chat/", "/once/", "/patient/", "/open/"} {
+		if r, found := s.config.Route("shop", path); found {
+			r.Regions = routes
+		}
+	}
+	if org, found := s.config.Organisation(validKey); found {
+		org.Regions = organisation
+	}
+}
+
 // behaviour is how a target handles an attempt.
 type behaviour struct {
 	notSent      bool // the connection fails before the request is sent
@@ -149,6 +161,7 @@
 	runs         int
 	targets      []string
 	reserved     map[string]int
+	everReserved map[string]bool // targets whose memory was reserved at some time
 	reserveCalls int
 	noMemory     func(target string) bool
 }
@@ -213,8 +226,9 @@
 		return relay.ErrNoMemory
 	}
 	if tr.reserved == nil {
-		tr.reserved = make(map[string]int)
+		tr.reserved, tr.everReserved = make(map[string]int), make(map[string]bool)
 	}
+	tr.everReserved[target.ID] = true
 	tr.reserved[target.ID+"/"+id] = tokens
 	return nil
 }
@@ -314,14 +328,41 @@
 	return newHarnessWith(transport, nil)
 }
 
+// newHarnessOf returns a harness with the targets of a source in the given regions, by
+// failure domain, that passes requests on to the forwarder, if there is one.
+func newHarnessOf(s *fakeSource, next func(relay.Call) behaviour, regionOf map[string]string, f ...relay.Forwarder) *harness {
+	tr := &fakeTransport{behaviourOf: next}
+	w := &harness{views: newStaticView(s), transport: tr}
+	w.start(tr, append(f, nil)[0], regionOf)
+	return w
+}
+
 func newHarnessWith(transport relay.Transport, f relay.Forwarder) *harness {
-	w := &harness{views: newStaticView(newFakeSource()), budget: &fakeRetryBudget{left: 100}, placer: placement.NewPlacer(time.Now, 1)}
+	w := &harness{views: newStaticView(newFakeSource())}
+	w.start(transport, f, nil)
+	return w
+}
+
+// start creates the relay of a harness that has a view.
+func (w *harness) start(transport relay.Transport, f relay.Forwarder, regionOf map[string]string) {
+	w.budget, w.placer = &fakeRetryBudget{left: 100}, placement.NewPlacer(time.Now, 1)
 	w.relay = relay.New(relay.Config{
 		Views: w.views, Placer: w.placer, Transport: transport, RetryBudget: w.budget, Forwarder: f,
-		Observer: noopObserver{}, Peers: noopObserver{}, Log: zap.NewNop(), HostID: "host",
+		Observer: noopObserver{}, Peers: noopObserver{}, Log: zap.NewNop(), HostID: "host", Regions: regionOf,
 		Settings: relay.Settings{MaxViewAge: 4 * time.Second, ReservationLease: reservationLease, MaxIdleReservation: maxIdleReservation * 4 / 5},
 	})
-	return w
+}
+
+// domainOf returns the failure domain of a target.
+func (w *harness) domainOf(id string) string {
+	for _, service := range []string{"orders", "llm"} {
+		for _, t := range w.views.View().Targets(service) {
+			if t.ID == id {
+				return t.Domain
+			}
+		}
+	}
+	return ""
 }
 
 func (w *harness) serve(ctx context.Context, req relay.Request) *recordedResponse {
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -214,6 +214,7 @@
 		Service: j.serviceName, Engine: j.service.Engine, PromptTokens: j.req.PromptTokens,
 		Objective: j.route.Objective, MaxEventGap: j.route.MaxEventGap, AbandonAfter: j.route.AbandonAfter(),
 		Waited: time.Since(j.req.Arrived), ExcludedTargets: j.triedTargets,
+		ColdRate: j.service.ColdRate, ColdPeriod: j.service.ColdPeriod,
 	}
 	req.OutputTokens = outputEstimateOffset + int(outputEstimateFactor*float64(j.req.ExpectedOutputTokens))
 	if j.req.MaxOutputTokens > 0 {
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -15,25 +15,26 @@
 
 // The reasons, and whether the request may have been executed.
 const (
-	ReasonBadRequest        Reason = "bad_request"  // not executed: malformed
-	ReasonBodyTooLarge      Reason = "too_large"    // not executed: body above the limit
-	ReasonUnknownKey        Reason = "unknown_key"  // not executed: no organisation has the key
-	ReasonNoRoute           Reason = "no_route"     // not executed: no route matches
-	ReasonConfigUnconfirmed Reason = "unconfirmed"  // not executed: the configuration is missing or its confirmation is too old
-	ReasonNoTarget          Reason = "no_target"    // not executed: no usable target
-	ReasonEvacuated         Reason = "evacuated"    // not executed: all targets are in evacuated failure domains
-	ReasonUnreachable       Reason = "unreachable"  // not executed: this host reaches no target, and no other host takes the request
-	ReasonOverloaded        Reason = "overloaded"   // not executed: this host takes no more requests of others for now
-	ReasonDraining          Reason = "draining"     // not executed: this host takes no requests of others any more
-	ReasonTargetsBusy       Reason = "busy"         // not executed: every target tried was at capacity
-	ReasonRateLimited       Reason = "rate_limited" // not executed: every target is at the rate limit that it names
-	ReasonTargetsResting    Reason = "resting"      // not executed: every target has asked this host to send none for a while
-	ReasonInfeasible        Reason = "hopeless"     // not executed: it exceeds the engines' capacity or the predicted wait is too long
-	ReasonNoMemory          Reason = "no_memory"    // not executed: the prompt's memory could not be reserved
-	ReasonQuarantined       Reason = "quarantined"  // not executed: it has crashed targets
-	ReasonTimeout           Reason = "timeout"      // may have been executed: the deadline passed
-	ReasonNoUsableResponse  Reason = "lost"         // may have been executed: no target gave a usable response
-	ReasonExpired           Reason = "out_of_time"  // not executed: its deadline passed before the first attempt
+	ReasonBadRequest        Reason = "bad_request"   // not executed: malformed
+	ReasonBodyTooLarge      Reason = "too_large"     // not executed: body above the limit
+	ReasonUnknownKey        Reason = "unknown_key"   // not executed: no organisation has the key
+	ReasonNoRoute           Reason = "no_route"      // not executed: no route matches
+	ReasonConfigUnconfirmed Reason = "unconfirmed"   // not executed: the configuration is missing or its confirmation is too old
+	ReasonNoTarget          Reason = "no_target"     // not executed: no usable target
+	ReasonNotPermitted      Reason = "not_permitted" // not executed: no target is in a region where it may run
+	ReasonEvacuated         Reason = "evacuated"     // not executed: all targets are in evacuated failure domains
+	ReasonUnreachable       Reason = "unreachable"   // not executed: this host reaches no target, and no other host takes the request
+	ReasonOverloaded        Reason = "overloaded"    // not executed: this host takes no more requests of others for now
+	ReasonDraining          Reason = "draining"      // not executed: this host takes no requests of others any more
+	ReasonTargetsBusy       Reason = "busy"          // not executed: every target tried was at capacity
+	ReasonRateLimited       Reason = "rate_limited"  // not executed: every target is at the rate limit that it names
+	ReasonTargetsResting    Reason = "resting"       // not executed: every target has asked this host to send none for a while
+	ReasonInfeasible        Reason = "hopeless"      // not executed: it exceeds the engines' capacity or the predicted wait is too long
+	ReasonNoMemory          Reason = "no_memory"     // not executed: the prompt's memory could not be reserved
+	ReasonQuarantined       Reason = "quarantined"   // not executed: it has crashed targets
+	ReasonTimeout           Reason = "timeout"       // may have been executed: the deadline passed
+	ReasonNoUsableResponse  Reason = "lost"          // may have been executed: no target gave a usable response
+	ReasonExpired           Reason = "out_of_time"   // not executed: its deadline passed before the first attempt
 )
 
 // Refusal is a response that the host itself gives to a request.
@@ -55,6 +56,7 @@
 	ReasonNoUsableResponse:  http.StatusBadGateway,
 	ReasonConfigUnconfirmed: http.StatusServiceUnavailable,
 	ReasonNoTarget:          http.StatusServiceUnavailable,
+	ReasonNotPermitted:      http.StatusServiceUnavailable,
 	ReasonEvacuated:         http.StatusServiceUnavailable,
 	ReasonUnreachable:       http.StatusServiceUnavailable,
 	ReasonOverloaded:        http.StatusServiceUnavailable,
@@ -72,6 +74,7 @@
 var retryAfterByReason = map[Reason]time.Duration{
 	ReasonConfigUnconfirmed: 50 * time.Millisecond, // another host may have a confirmed configuration
 	ReasonNoTarget:          400 * time.Millisecond,
+	ReasonNotPermitted:      time.Second,
 	ReasonEvacuated:         time.Second,            // an operator ends it
 	ReasonUnreachable:       300 * time.Millisecond, // another host may reach the targets
 	ReasonOverloaded:        300 * time.Millisecond,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,6 +58,8 @@
 	Settings  Settings
 	// HostID is the prefix that makes reservation ids unique across hosts.
 	HostID string
+	// Regions holds the region of each failure domain.
+	Regions map[string]string
 }
 
 // Peers broadcasts urgent events to the other hosts.
