Placement: admission of long prompts under contention; priorities of routes count

Change: a long prompt whose engines would begin later than 0.3 of its objective is refused at once with a time to come back; one that is late in any case beyond 0.15. Only for streaming routes with an objective of 4 s or more (--min-contended-objective, 0 for none), since a refused caller must be able to come back in time. Priorities of routes, so far ignored, weigh late requests and set the urgency at engines. The simulation of the placement tests is a package of its own (fleetmodel), with three new loads and a bound from above.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -56,6 +56,7 @@
 	Public      bool          // requires no key
 	Resumable   bool          // a stream may continue at another target
 	Regions     Regions       // where requests may run
+	Priority    int           // among the routes of its service; 0 is the highest
 }
 
 // Repeatable reports whether a request of the route may run more than once.
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -14,6 +14,9 @@
 	keys        map[string]*Organisation
 	routes      int
 	requiresKey bool
+
+	streamPriorities map[string]*priorityRange // by service
+	orgPriorities    priorityRange
 }
 
 // KeyHolder is an organisation with its keys, as the published configuration lists
@@ -34,6 +37,9 @@
 		keys:        make(map[string]*Organisation),
 		routes:      len(routes),
 		requiresKey: len(holders) > 0,
+
+		streamPriorities: streamPriorities(routes),
+		orgPriorities:    organisationPriorities(holders),
 	}
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -19,14 +19,22 @@
 const settingsPollInterval = 5 * time.Second
 
 type edgeCommand struct {
-	Config  string `long:"config" env:"PLANTAINRUN_CONFIG" description:"path of the platform's settings file"`
-	streams Streams
+	Config                string        `long:"config" env:"PLANTAINRUN_CONFIG" description:"path of the platform's settings file"`
+	MinContendedObjective time.Duration `long:"min-contended-objective" env:"PLANTAINRUN_MIN_CONTENDED_OBJECTIVE" default:"4s" description:"shortest objective of routes whose long prompts are refused while the engines would begin with them too late; 0 for none"`
+	streams               Streams
+}
+
+// readSettings reads the platform's settings and adds those of the command line.
+func (c *edgeCommand) readSettings() (edge.Settings, error) {
+	settings, err := platform.ReadSettings(c.Config)
+	settings.MinContendedObjective = c.MinContendedObjective
+	return settings, err
 }
 
 // Execute runs an entry host on the users' platform until a drain has ended.
 func (c *edgeCommand) Execute([]string) error {
 	sigs := signals.Notify()
-	settings, err := platform.ReadSettings(c.Config)
+	settings, err := c.readSettings()
 	if err != nil {
 		return &usageError{err}
 	}
@@ -68,7 +76,7 @@
 // reload reads the settings file and applies changed settings. It returns the
 // settings that now apply: the previous ones if the file cannot be read.
 func (c *edgeCommand) reload(host *edge.Host, current edge.Settings, log *zap.Logger) edge.Settings {
-	settings, err := platform.ReadSettings(c.Config)
+	settings, err := c.readSettings()
 	if err != nil {
 		log.Warn("settings cannot be read; the current ones stay in force", zap.Error(err))
 		return current
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -114,6 +114,8 @@
 		Settings:    relaySettings(settings),
 		HostID:      settings.HostID,
 		Regions:     settings.Regions,
+
+		MinContendedObjective: settings.MinContendedObjective,
 	})
 	h.metrics.observeQuarantine(h.relay)
 	h.peers.Attach(h.relay, h.follower)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -28,6 +28,7 @@
 	forwards   *prometheus.CounterVec
 	firstEvent prometheus.Histogram
 	duration   prometheus.Histogram
+	backlog    prometheus.Histogram
 	active     prometheus.Gauge
 }
 
@@ -49,11 +50,14 @@
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time from arrival to the final answer.", Buckets: latencyBuckets,
 		}),
+		backlog: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "refused_backlog_seconds", Help: "Backlog of the engines for which long prompts are refused.", Buckets: latencyBuckets,
+		}),
 		active: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "requests_in_progress", Help: "Requests in progress.",
 		}),
 	}
-	m.registry.MustRegister(m.refusals, m.attempts, m.forwards, m.firstEvent, m.duration, m.active, collectors.NewGoCollector())
+	m.registry.MustRegister(m.refusals, m.attempts, m.forwards, m.firstEvent, m.duration, m.backlog, m.active, collectors.NewGoCollector())
 	m.registerGauge("view_age_seconds", "Time since the view of the store was confirmed.", func() float64 { return f.Age().Seconds() })
 	m.registerGauge("store_calls", "Calls to the store.", func() float64 { calls, _ := f.Stats(); return float64(calls) })
 	m.registerGauge("store_failures", "Calls to the store without a usable answer.", func() float64 { _, failures := f.Stats(); return float64(failures) })
@@ -91,6 +95,9 @@
 // FirstEvent records the time from arrival to a stream's first event.
 func (m *metrics) FirstEvent(_ string, took time.Duration) { m.firstEvent.Observe(took.Seconds()) }
 
+// Backlogged records the backlog for which a long prompt is refused.
+func (m *metrics) Backlogged(backlog time.Duration) { m.backlog.Observe(backlog.Seconds()) }
+
 // Finished records the time from arrival to the final response.
 func (m *metrics) Finished(_ string, took time.Duration) { m.duration.Observe(took.Seconds()) }
 
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -7,14 +7,15 @@
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/placement"
+	"github.com/plantainrun/plantainrun/internal/standin/fleetmodel"
 )
 
 // BenchmarkPlace measures the CPU time of one placement with eight jobs on each
 // engine.
 func BenchmarkPlace(b *testing.B) {
 	for _, engines := range []int{23, 78, 500} {
-		for _, wl := range []workload{question, handbook} {
-			b.Run(fmt.Sprint(wl.name, "/engines-", engines), func(b *testing.B) {
+		for _, wl := range []fleetmodel.Workload{question, handbook} {
+			b.Run(fmt.Sprint(wl.Name, "/engines-", engines), func(b *testing.B) {
 				placer := placement.NewPlacer(time.Now, 1)
 				var targets []catalog.Target
 				for i := range engines {
@@ -27,8 +28,8 @@
 					})
 				}
 				req := placement.Request{
-					Service: "llm", Engine: &engineSpec, PromptTokens: int(wl.meanPromptTokens), OutputTokens: 1000,
-					Objective: wl.objective, MaxEventGap: wl.maxEventGap, AbandonAfter: 10 * time.Second,
+					Service: "llm", Engine: &engineSpec, PromptTokens: int(wl.MeanPromptTokens), OutputTokens: 1000,
+					Objective: wl.Objective, MaxEventGap: wl.MaxEventGap, AbandonAfter: 10 * time.Second,
 				}
 				for b.Loop() {
 					p, err := placer.Place(req, targets)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -81,8 +81,8 @@
 
 // choosePrompt chooses the engines for a prompt: it compares the best choice for
 // each feasible number of parts and takes the one with the lowest cost. The helpers only
-// prefill.
-func (p *Placement) choosePrompt(req *Request, candidates, helpers []*targetLoad, s *shard, now time.Time) []Share {
+// prefill. The error is a *BacklogError.
+func (p *Placement) choosePrompt(req *Request, candidates, helpers []*targetLoad, s *shard, now time.Time) ([]Share, error) {
 	c := newChooser(req, candidates, helpers, s, now)
 	c.unseenPrompts = s.demand.shortPrompts.perSecond(now) * time.Duration(p.placer.propagationDelay.Load()).Seconds()
 	var best *choice
@@ -91,6 +91,9 @@
 			best = ch
 		}
 	}
+	if err := c.admit(best); err != nil {
+		return nil, err
+	}
 	p.Primary, p.PredictedWait = best.engines[0].load.target, best.wait
 	p.Late = c.late(best.wait)
 	reserved := reservation(req, len(best.engines))
@@ -105,7 +108,7 @@
 		}
 		shares = append(shares, share)
 	}
-	return shares
+	return shares, nil
 }
 
 // chooser evaluates the choices for one prompt.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,6 +28,10 @@
 	MaxEventGap  time.Duration // largest gap between two events of a timely stream
 	AbandonAfter time.Duration // wait for an event after which the caller is assumed to disconnect; 0 if unknown
 	Waited       time.Duration // since the request's arrival
+	// Importance multiplies the cost of the request being late; 0 counts as 1.
+	Importance float64
+	// Contended means that the prompt is subject to admission under contention.
+	Contended bool
 	// ColdRate is the number of requests per second that a cold target of the service accepts
 	// from all hosts together, 0 for no limit; ColdPeriod is how long a target is cold after
 	// a start.
@@ -51,7 +55,11 @@
 // weight is the cost of the request being late: its size, in which an output token
 // counts for more than a prompt token.
 func (r *Request) weight() float64 {
-	return float64(r.PromptTokens+outputTokenFactor*r.OutputTokens) / unitWeightTokens
+	weight := float64(r.PromptTokens+outputTokenFactor*r.OutputTokens) / unitWeightTokens
+	if r.Importance > 0 {
+		weight *= r.Importance
+	}
+	return weight
 }
 
 // Part is one target's part of a request that several targets share.
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -118,8 +118,8 @@
 }
 
 // Place chooses among targets and adds the request to the load of the chosen
-// ones. It returns ErrNoTarget if too few of them are eligible, and a
-// *DeferredError if none of them wants a request at the moment.
+// ones. It returns ErrNoTarget if too few of them are eligible, a *DeferredError if none of
+// them wants a request at the moment, and a *BacklogError if the prompt is not admitted.
 func (pl *Placer) Place(req Request, targets []catalog.Target) (*Placement, error) {
 	s := pl.shard(req.Service)
 	now := pl.now()
@@ -138,7 +138,10 @@
 	if req.Engine == nil {
 		shares = p.choosePlain(candidates, s.random, now)
 	} else {
-		shares = p.choosePrompt(&req, s.sampleCandidates(candidates), s.sampleCandidates(helpers), s, now)
+		shares, err = p.choosePrompt(&req, s.sampleCandidates(candidates), s.sampleCandidates(helpers), s, now)
+	}
+	if err != nil {
+		return nil, err
 	}
 	p.job = &trackedJob{placedAt: now, Job: Job{
 		ID: JobID(pl.lastID.Add(1)), Service: req.Service, Shares: shares, Weight: req.weight(),
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -45,7 +45,10 @@
 	}
 	placed, err := j.place()
 	var deferred *placement.DeferredError
+	var backlogged *placement.BacklogError
 	switch {
+	case errors.As(err, &backlogged):
+		return j.refuseBacklogged(backlogged)
 	case errors.As(err, &deferred):
 		return j.waitUntilWanted(ctx, deferred)
 	case err != nil:
@@ -215,6 +218,7 @@
 	}
 	if j.service.Engine != nil {
 		call.Urgency = urgency(placed)
+		call.Rank = j.precedence().Rank
 	}
 	if j.responseStarted {
 		call.LastEventID = j.seq.lastEventID()
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -292,6 +292,7 @@
 func (noopObserver) AttemptEnded(string, string)                {}
 func (noopObserver) Forwarded(string)                           {}
 func (noopObserver) FirstEvent(string, time.Duration)           {}
+func (noopObserver) Backlogged(time.Duration)                   {}
 func (noopObserver) Finished(string, time.Duration)             {}
 func (noopObserver) AddActive(int)                              {}
 func (noopObserver) Crashed(quarantine.Crash)                   {}
@@ -306,6 +307,8 @@
 	views     *staticView
 	budget    *fakeRetryBudget
 	placer    *placement.Placer
+
+	minContendedObjective time.Duration
 }
 
 func newHarness(next func(relay.Call) behaviour) *harness {
@@ -349,7 +352,8 @@
 	w.relay = relay.New(relay.Config{
 		Views: w.views, Placer: w.placer, Transport: transport, RetryBudget: w.budget, Forwarder: f,
 		Observer: noopObserver{}, Peers: noopObserver{}, Log: zap.NewNop(), HostID: "host", Regions: regionOf,
-		Settings: relay.Settings{MaxViewAge: 4 * time.Second, ReservationLease: reservationLease, MaxIdleReservation: maxIdleReservation * 4 / 5},
+		MinContendedObjective: w.minContendedObjective,
+		Settings:              relay.Settings{MaxViewAge: 4 * time.Second, ReservationLease: reservationLease, MaxIdleReservation: maxIdleReservation * 4 / 5},
 	})
 }
 
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -215,6 +215,11 @@
 		Objective: j.route.Objective, MaxEventGap: j.route.MaxEventGap, AbandonAfter: j.route.AbandonAfter(),
 		Waited: time.Since(j.req.Arrived), ExcludedTargets: j.triedTargets,
 		ColdRate: j.service.ColdRate, ColdPeriod: j.service.ColdPeriod,
+		Importance: j.precedence().Importance,
+	}
+	if j.contended() {
+		req.Contended = true
+		req.Waited += j.spentBefore()
 	}
 	req.OutputTokens = outputEstimateOffset + int(outputEstimateFactor*float64(j.req.ExpectedOutputTokens))
 	if j.req.MaxOutputTokens > 0 {
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -30,6 +30,7 @@
 	ReasonRateLimited       Reason = "rate_limited"  // not executed: every target is at the rate limit that it names
 	ReasonTargetsResting    Reason = "resting"       // not executed: every target has asked this host to send none for a while
 	ReasonInfeasible        Reason = "hopeless"      // not executed: it exceeds the engines' capacity or the predicted wait is too long
+	ReasonBacklogged        Reason = "backlogged"    // not executed: engines would begin with the prompt too late
 	ReasonNoMemory          Reason = "no_memory"     // not executed: the prompt's memory could not be reserved
 	ReasonQuarantined       Reason = "quarantined"   // not executed: it has crashed targets
 	ReasonTimeout           Reason = "timeout"       // may have been executed: the deadline passed
@@ -65,6 +66,7 @@
 	ReasonRateLimited:       http.StatusServiceUnavailable,
 	ReasonTargetsResting:    http.StatusServiceUnavailable,
 	ReasonInfeasible:        http.StatusServiceUnavailable,
+	ReasonBacklogged:        http.StatusServiceUnavailable,
 	ReasonNoMemory:          http.StatusServiceUnavailable,
 	ReasonQuarantined:       http.StatusServiceUnavailable,
 	ReasonExpired:           http.StatusServiceUnavailable,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,6 +58,9 @@
 	Settings  Settings
 	// HostID is the prefix that makes reservation ids unique across hosts.
 	HostID string
+	// MinContendedObjective is the shortest objective of routes whose long prompts are
+	// subject to admission under contention; 0 for none.
+	MinContendedObjective time.Duration
 	// Regions holds the region of each failure domain.
 	Regions map[string]string
 }
@@ -82,6 +85,8 @@
 	// Forwarded counts a request passed to another host, by its outcome.
 	Forwarded(outcome string)
 	FirstEvent(route string, took time.Duration)
+	// Backlogged records the backlog for which a long prompt is refused.
+	Backlogged(backlog time.Duration)
 	Finished(route string, took time.Duration)
 	AddActive(delta int)
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -58,6 +58,7 @@
 	LastEventID string
 	Helpers     []Helper
 	Urgency     Urgency
+	Rank        int // among timely requests; 0 for the most urgent ones
 }
 
 // Urgency tells an engine which requests to admit first.
