Relay: memory is kept reserved only while the target of its attempt is alive

Cause (LEAK): a host learns up to 3 s after an engine has gone dark that its attempt is over, and renewed the leases on the other engines until then. With the first releases lost, memory stayed reserved beyond the 4 s allowed.

Change: a lease is renewed only on a sign of life of the target that decodes: an event within the last 0.25 s, or a probe, which all leases of an attempt share. Renewals begin at half of the lease, so that a target that is silent for a second keeps it.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -83,7 +83,7 @@
 	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := newWatchdog(cancel, j.progressTimeout())
+	watchdog := newWatchdog(cancel, j.progressTimeout(), nil)
 	defer watchdog.stop()
 	j.attemptEvents = 0
 	out, err := j.relay.cfg.Forwarder.Forward(sendCtx, j.forwardCall())
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// renewFraction is the fraction of a lease after which it is renewed.
-	renewFraction = 0.6
+	// renewFraction is the fraction of a lease after which it is renewed. It leaves time for
+	// a target that is silent for a second, and for orders that are not answered.
+	renewFraction = 0.5
 	// lateOrderWindow is how long an order without a response may still be carried
 	// out by its engine.
 	lateOrderWindow = 15 * time.Second
@@ -26,11 +27,15 @@
 // answered or the lease must have expired. If the outcome of a renewal is unknown, it
 // may reserve the memory anew after the release. The release is then repeated for
 // lateOrderWindow.
+//
+// A lease is renewed only while the target of its attempt gives signs of life: the host may
+// learn seconds later that it has gone dark, and a release may get lost.
 type lease struct {
 	relay    *Relay
 	part     placement.Part
 	id       string
 	duration time.Duration
+	primary  *liveness // of the attempt that uses the memory
 
 	renewedAt    time.Time // when the last answered order was sent
 	unansweredAt time.Time // when the last renewal without a response was sent
@@ -38,9 +43,9 @@
 	stopped      chan struct{} // closed when no renewal is in progress any more
 }
 
-func (r *Relay) newLease(part placement.Part, id string) *lease {
+func (r *Relay) newLease(part placement.Part, id string, primary *liveness) *lease {
 	return &lease{
-		relay: r, part: part, id: id, duration: r.settings.Load().ReservationLease,
+		relay: r, part: part, id: id, primary: primary, duration: r.settings.Load().ReservationLease,
 		stop: make(chan struct{}), stopped: make(chan struct{}),
 	}
 }
@@ -58,6 +63,10 @@
 	defer close(l.stopped)
 	next := l.renewedAt.Add(time.Duration(renewFraction * float64(l.duration)))
 	for l.sleepUntil(next) {
+		if !l.primary.alive() {
+			next = time.Now().Add(signRetryDelay)
+			continue
+		}
 		sentAt := time.Now()
 		err := l.sendReserve(context.Background())
 		switch {
--- /dev/null
+++ b/internal/relay/liveness.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+)
+
+// maxSignAge is how recent a sign of life must be for the memory of an attempt to be kept
+// reserved. With it, memory of an attempt whose target has gone dark is free in time even if
+// no release arrives: the lease is shorter than the bound by more than this.
+const maxSignAge = 250 * time.Millisecond
+
+// signRetryDelay is the time between two probes of a target that gives no sign of life.
+const signRetryDelay = 100 * time.Millisecond
+
+// liveness tells whether the target of an attempt is alive: by its events, or by a probe if
+// there was none lately. It is safe for concurrent use.
+type liveness struct {
+	relay   *Relay
+	service *catalog.Service
+	target  catalog.Target
+
+	probing chan struct{} // holds a value while a probe is in progress
+
+	mu       sync.Mutex
+	signAt   time.Time // latest sign of life
+	failedAt time.Time // end of the latest probe without an answer
+}
+
+func newLiveness(r *Relay, service *catalog.Service, target catalog.Target) *liveness {
+	return &liveness{relay: r, service: service, target: target, probing: make(chan struct{}, 1)}
+}
+
+// seen records a sign of life.
+func (l *liveness) seen() { l.record(time.Now(), time.Time{}) }
+
+// alive reports whether the target has given a sign of life lately. Concurrent callers share
+// one probe.
+func (l *liveness) alive() bool {
+	l.probing <- struct{}{}
+	defer func() { <-l.probing }()
+	if alive, known := l.state(); known {
+		return alive
+	}
+	sentAt := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if err := l.relay.cfg.Transport.Probe(ctx, l.service, l.target); err != nil {
+		l.record(time.Time{}, time.Now())
+		l.relay.cfg.Log.Warn("target of an attempt with reserved memory gives no sign of life", zap.String("target", l.target.ID),
+			zap.Error(err))
+		return false
+	}
+	l.record(sentAt, time.Time{})
+	return true
+}
+
+// state reports whether the target is alive, if that is known from recent signs or probes.
+func (l *liveness) state() (alive, known bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.signAt) < maxSignAge {
+		return true, true
+	}
+	return false, time.Since(l.failedAt) < signRetryDelay/2
+}
+
+// record replaces the times of the latest sign of life and of the latest failed probe, as
+// far as they are set.
+func (l *liveness) record(signAt, failedAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !signAt.IsZero() {
+		l.signAt = signAt
+	}
+	if !failedAt.IsZero() {
+		l.failedAt = failedAt
+	}
+}
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -27,6 +27,7 @@
 type reservationSet struct {
 	helpers []Helper
 	leases  []*lease
+	primary *liveness // of the target that decodes
 }
 
 // helperIDs returns the target ids of the helpers for logging.
@@ -66,13 +67,13 @@
 // reserve reserves the engine memory that a placement requires. If one engine
 // refuses, the reservations on the others are released.
 func (r *Relay) reserve(ctx context.Context, j *job, placed *placement.Placement) (*reservationSet, error) {
-	set := &reservationSet{}
+	set := &reservationSet{primary: newLiveness(r, j.service, placed.Primary)}
 	j.reserveCalls++
 	for i, part := range placed.Parts {
 		helper := Helper{Target: part.Target}
 		if part.Tokens > 0 {
 			helper.ReservationID = r.cfg.HostID + "-" + j.req.ID + "-" + strconv.Itoa(j.reserveCalls) + "-" + strconv.Itoa(i)
-			set.leases = append(set.leases, r.newLease(part, helper.ReservationID))
+			set.leases = append(set.leases, r.newLease(part, helper.ReservationID, set.primary))
 		}
 		set.helpers = append(set.helpers, helper)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -82,18 +82,22 @@
 
 // watchdog cancels an attempt that makes no progress.
 type watchdog struct {
-	mu    sync.Mutex
-	timer *time.Timer
+	mu      sync.Mutex
+	timer   *time.Timer
+	primary *liveness // told of each progress; nil for none
 }
 
-func newWatchdog(cancel context.CancelFunc, after time.Duration) *watchdog {
-	return &watchdog{timer: time.AfterFunc(after, cancel)}
+func newWatchdog(cancel context.CancelFunc, after time.Duration, primary *liveness) *watchdog {
+	return &watchdog{timer: time.AfterFunc(after, cancel), primary: primary}
 }
 
 func (w *watchdog) reset(after time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer.Reset(after)
+	if w.primary != nil {
+		w.primary.seen()
+	}
 }
 
 func (w *watchdog) stop() { w.timer.Stop() }
