Placement: a dark failure domain of targets is no cut of the host; command that plays heavy loads

Cause: a service counted as unreachable from a host after failed connections to two of its targets with no answer in between. With one domain of targets dark, a host with a request or two a second meets two dark ones before another answers, and passes its requests to other hosts.

Change: the failures must be in two failure domains, if the service has so many.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -73,6 +73,7 @@
 	addCommand("audit", "Show the audit trail of a host.", &auditCommand{streams: streams})
 	addCommand("drain", "Let a host finish its requests and exit.", &drainCommand{streams: streams})
 	addCommand("version", "Show the version.", &versionCommand{streams: streams})
+	addCommand("experiment", "Play heavy loads in the model, with and without admission under contention.", &experimentCommand{streams: streams})
 	logsCmd := addCommand("logs", "Work with the logs of hosts.", &logsCommand{})
 	if _, err := logsCmd.AddCommand("explain", "Show what happened to a request.", "Show what happened to a request.", &logsExplainCommand{streams: streams}); err != nil {
 		panic(err)
--- a/internal/placement/domains.go
+++ b/internal/placement/domains.go
@@ -1,6 +1,11 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/plantainrun/plantainrun/internal/catalog"
+)
 
 const (
 	// minUnreachableTargets is how many targets of a failure domain have to be
@@ -18,6 +23,20 @@
 	domainProbeInterval = 800 * time.Millisecond
 )
 
+// countDomains returns the number of failure domains of targets.
+func countDomains(targets []catalog.Target) int {
+	domains := make([]string, 0, expectedDomains)
+	for i := range targets {
+		if !slices.Contains(domains, targets[i].Domain) {
+			domains = append(domains, targets[i].Domain)
+		}
+	}
+	return len(domains)
+}
+
+// expectedDomains is the usual number of failure domains of a service.
+const expectedDomains = 4
+
 // domainHealth summarises the recent attempts at the targets of one failure domain.
 type domainHealth struct {
 	unreachable        int       // number of targets that were unreachable within the window
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -41,6 +41,7 @@
 	demand      demand
 	coldPeriod  time.Duration // published with the service, as of the latest call of Place
 	targetCount int           // targets of the service in the latest call of Place
+	domainCount int           // their failure domains
 	ownAttempts rate          // calls of Place, by this host alone
 	// reachability is judged by this host's own attempts.
 	reachability reachability
@@ -127,7 +128,7 @@
 	defer s.mu.Unlock()
 	view := pl.fleetView()
 	s.ownAttempts.add(1, now)
-	s.targetCount = len(targets)
+	s.targetCount, s.domainCount = len(targets), countDomains(targets)
 	s.coldPeriod = req.ColdPeriod
 	candidates, helpers, err := s.candidates(req, targets, view, now)
 	if err != nil {
--- a/internal/placement/reachability.go
+++ b/internal/placement/reachability.go
@@ -11,6 +11,9 @@
 	// no answer from any of its targets since the first failure, for the service to count as
 	// unreachable from this host. One silent target is a fault of that target.
 	minFailedTargets = 2
+	// minFailedDomains is in how many failure domains these targets have to be, if there are
+	// so many: a domain that is silent as a whole is no fault of this host either.
+	minFailedDomains = 2
 	// lostFraction is the fraction of the targets of an unreachable service that have to
 	// fail for it to count as lost, so that the others are not tried either.
 	lostFraction = 0.5
@@ -37,32 +40,48 @@
 // reachability tells from the results of this host's attempts whether it reaches the
 // targets of one service at all.
 type reachability struct {
-	failures         map[catalog.TargetKey]time.Time // latest failed connections since the last answer of any target
-	firstFailureAt   time.Time                       // the earliest of these; zero if there are none
-	unreachableSince time.Time                       // zero while the service counts as reachable
-	answeredAt       time.Time                       // latest answer of any target
-	usedAt           time.Time                       // latest request for the service
-	probing          bool                            // the service is being probed
+	failures         map[catalog.TargetKey]failedConnection // latest ones since the last answer of any target
+	firstFailureAt   time.Time                              // the earliest of these; zero if there are none
+	unreachableSince time.Time                              // zero while the service counts as reachable
+	answeredAt       time.Time                              // latest answer of any target
+	usedAt           time.Time                              // latest request for the service
+	probing          bool                                   // the service is being probed
+}
+
+// failedConnection is the latest failed connection to a target.
+type failedConnection struct {
+	at     time.Time
+	domain string // of the target
 }
 
 // recordFailure records a failed connection to a target and reports whether the service
-// has become unreachable. targets is the number of targets of the service.
-func (r *reachability) recordFailure(target catalog.TargetKey, targets int, now time.Time) bool {
+// has become unreachable. targets and domains are the numbers of targets of the service and
+// of their failure domains.
+func (r *reachability) recordFailure(target catalog.TargetKey, domain string, targets, domains int, now time.Time) bool {
 	if r.failures == nil {
-		r.failures = make(map[catalog.TargetKey]time.Time)
+		r.failures = make(map[catalog.TargetKey]failedConnection)
 	}
 	r.expire(now)
 	if len(r.failures) == 0 {
 		r.firstFailureAt = now
 	}
-	r.failures[target] = now
-	if !r.unreachableSince.IsZero() || len(r.failures) < min(minFailedTargets, targets) {
+	r.failures[target] = failedConnection{at: now, domain: domain}
+	if !r.unreachableSince.IsZero() || len(r.failures) < min(minFailedTargets, targets) || r.failedDomains() < min(minFailedDomains, domains) {
 		return false
 	}
 	r.unreachableSince = r.firstFailureAt
 	return true
 }
 
+// failedDomains returns the number of failure domains with failed connections.
+func (r *reachability) failedDomains() int {
+	domains := make(map[string]struct{}, len(r.failures))
+	for _, f := range r.failures {
+		domains[f.domain] = struct{}{}
+	}
+	return len(domains)
+}
+
 // recordAnswer records that a target has answered and reports whether the service has
 // become reachable again.
 func (r *reachability) recordAnswer(now time.Time) bool {
@@ -83,8 +102,8 @@
 	if !r.unreachableSince.IsZero() {
 		return
 	}
-	for target, at := range r.failures {
-		if now.Sub(at) > failureWindow {
+	for target, f := range r.failures {
+		if now.Sub(f.at) > failureWindow {
 			delete(r.failures, target)
 		}
 	}
@@ -189,7 +208,7 @@
 	change := ReachabilityChange{Service: s.service, Since: s.reachability.unreachableSince, FailedTargets: len(s.reachability.failures)}
 	switch result {
 	case Unconnected:
-		if !s.reachability.recordFailure(target, s.targetCount, now) {
+		if !s.reachability.recordFailure(target, s.load(target).target.Domain, s.targetCount, s.domainCount, now) {
 			return
 		}
 		change.Since, change.FailedTargets = s.reachability.unreachableSince, len(s.reachability.failures)
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -110,7 +110,14 @@
 	services := []catalog.Service{{Name: "orders"}, {Name: "llm", Engine: &engineModel}}
 	holders := []catalog.KeyHolder{{Organisation: catalog.Organisation{Name: "school"}, Keys: []string{validKey}}}
 	s := &fakeSource{config: catalog.NewConfig(3, catalog.Limits{BodyBytes: 1 << 20}, routes, services, holders)}
-	for i := range 5 {
+	s.grow(5)
+	return s
+}
+
+// grow gives each service the given number of targets.
+func (s *fakeSource) grow(perService int) {
+	s.targets = nil
+	for i := range perService {
 		for _, service := range []string{"orders", "llm"} {
 			s.targets = append(s.targets, catalog.Target{
 				TargetKey: catalog.TargetKey{ID: fmt.Sprint(service, "-", i), StartUnixMilli: 1}, Service: service, Domain: "north", Slots: 16,
@@ -118,7 +125,6 @@
 			})
 		}
 	}
-	return s
 }
 
 // confine confines all routes, and the organisation, to regions.
