--- a/internal/follow/apply.go
+++ b/internal/follow/apply.go
@@ -87,9 +87,14 @@
 	if known && sameButCold(old.target, target) && old.removeAt.IsZero() {
 		return old.target.ColdFor != target.ColdFor
 	}
-	f.log.Info("target registered",
-		zap.String("target", c.TargetID), zap.Int64("born", c.Target.StartUnixMilli), zap.String("service", c.Target.Service),
-		zap.Bool("leaving", c.Target.Leaving), zap.Duration("cold_for", target.ColdFor), zap.Int64("revision", int64(c.Revision)))
+	fields := []zap.Field{
+		zap.String("target", c.TargetID), zap.Int64("born", target.StartUnixMilli), zap.String("service", target.Service),
+		zap.Bool("leaving", target.Leaving), zap.Int64("revision", int64(c.Revision)),
+	}
+	if target.ColdFor > 0 {
+		fields = append(fields, zap.Duration("cold_for", target.ColdFor))
+	}
+	f.log.Info("target registered", fields...)
 	return true
 }
 
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -42,24 +42,12 @@
 	{name: "dark, then published", registered: true, published: true, perSecond: 140},
 }
 
-// mostPerWindow returns the largest number of requests that reached a target within any
-// window that ends in a period.
-func (t *fleetTargets) mostPerWindow(target string, window time.Duration, from, to time.Time) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var counted []time.Time
-	most := 0
-	for _, a := range t.arrivals {
-		if a.target != target || a.at.Before(from) || a.at.After(to) {
-			continue
-		}
-		counted = append(counted, a.at)
-		for a.at.Sub(counted[0]) > window {
-			counted = counted[1:]
-		}
-		most = max(most, len(counted))
-	}
-	return most
+// mostPerSecond returns the largest number of requests that reached a target within any
+// second that ends in a period.
+func (t *fleetTargets) mostPerSecond(target string, from, to time.Time) int {
+	return t.mostWithin(coldWindow, func(a arrival) bool {
+		return a.target == target && !a.at.Before(from) && !a.at.After(to)
+	})
 }
 
 // coldSource serves engines that accept few requests while they are cold.
@@ -121,7 +109,7 @@
 	time.AfterFunc(8200*time.Millisecond, func() { f.join() })
 	f.load(end, c.perSecond, promptRequest)
 	for _, id := range cold {
-		got := targets.mostPerWindow(id, coldWindow, start.Add(back), start.Add(back+coldPeriod))
+		got := targets.mostPerSecond(id, start.Add(back), start.Add(back+coldPeriod))
 		used := targets.count(id, start.Add(back), start.Add(back+coldPeriod))
 		t.Logf("%s: %d in the busiest second, %d while cold", id, got, used)
 		g.Expect(got).To(BeNumerically("<=", coldFactor*coldRate+coldSlack), id)
--- a/internal/relay/dark_engine_test.go
+++ b/internal/relay/dark_engine_test.go
@@ -92,7 +92,7 @@
 			t.Run(fmt.Sprint(darkAfter, "/lost=", lost), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					e := &darkEngines{lateEngines: newLateEngines([]bool{false}, []time.Duration{time.Second}, time.Second), darkAfter: darkAfter, lostReleases: lost, released: make(map[string]int)}
-					NewWithT(t).Expect(runDark(t.Context(), e)).To(BeEmpty())
+					NewWithT(t).Expect(e.run(t.Context(), e)).To(BeEmpty())
 				})
 			})
 		}
@@ -105,27 +105,8 @@
 		t.Run(fmt.Sprint(darkAfter), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				e := &darkEngines{lateEngines: newLateEngines([]bool{false}, []time.Duration{time.Second}, 7*time.Second), darkAfter: darkAfter, recovers: time.Second, released: make(map[string]int)}
-				NewWithT(t).Expect(runDark(t.Context(), e)).To(BeEmpty())
+				NewWithT(t).Expect(e.run(t.Context(), e)).To(BeEmpty())
 			})
 		})
 	}
 }
-
-// runDark serves one prompt that needs several engines and watches its memory until no
-// order is outstanding.
-func runDark(ctx context.Context, e *darkEngines) string {
-	w := newHarnessWithTransport(e)
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		w.serve(ctx, relay.Request{ID: "r", URI: "/patient/1", PromptTokens: 300_000})
-	}()
-	for range int(45 * time.Second / sampleInterval) {
-		time.Sleep(sampleInterval)
-		e.sample()
-	}
-	<-served
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.violation
-}
--- a/internal/relay/late_orders_test.go
+++ b/internal/relay/late_orders_test.go
@@ -154,7 +154,7 @@
 		for _, ms := range durations {
 			synctest.Test(t, func(t *testing.T) {
 				e := newLateEngines(late, delays, time.Duration(ms)*time.Millisecond)
-				violation = e.run(t.Context())
+				violation = e.run(t.Context(), e)
 			})
 			if violation != "" {
 				rt.Fatalf("attempt of %d ms: %s", ms, violation)
@@ -175,10 +175,10 @@
 	}
 }
 
-// run serves one prompt that needs several engines and watches its memory until no
-// order is outstanding.
-func (e *lateEngines) run(ctx context.Context) string {
-	w := newHarnessWithTransport(e)
+// run serves one prompt that needs several engines over a transport and watches its memory
+// until no order is outstanding.
+func (e *lateEngines) run(ctx context.Context, transport relay.Transport) string {
+	w := newHarnessWithTransport(transport)
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
--- a/internal/relay/ratelimit_test.go
+++ b/internal/relay/ratelimit_test.go
@@ -23,16 +23,23 @@
 // mostInWindow returns the largest number of requests of calm hosts that reached a
 // target within a window.
 func (t *fleetTargets) mostInWindow(target string) int {
+	return t.mostWithin(limitWindow, func(a arrival) bool {
+		return a.target == target && a.calm && a.at.Sub(t.namedAt[target]) >= limitGrace
+	})
+}
+
+// mostWithin returns the largest number of arrivals within any window of those that count.
+func (t *fleetTargets) mostWithin(window time.Duration, counts func(arrival) bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var counted []time.Time
 	most := 0
 	for _, a := range t.arrivals {
-		if a.target != target || !a.calm || a.at.Sub(t.namedAt[target]) < limitGrace {
+		if !counts(a) {
 			continue
 		}
 		counted = append(counted, a.at)
-		for a.at.Sub(counted[0]) > limitWindow {
+		for a.at.Sub(counted[0]) > window {
 			counted = counted[1:]
 		}
 		most = max(most, len(counted))
