--- a/internal/standin/fleetmodel/loads.go
+++ b/internal/standin/fleetmodel/loads.go
@@ -18,18 +18,65 @@
 	}
 )
 
+// kinds are the kinds of request of a load, at their ordinary rates.
+type kinds struct{ short, medium, long Workload }
+
+// largeKinds are kinds of equal importance, the long ones with prompts of 300,000 tokens.
+func largeKinds() kinds {
+	wave := Wave{Swing: 0.55, Period: 13 * time.Second, Phase: 0.18}
+	return kinds{
+		short: Workload{
+			Name: "short", PerSecond: 67.4, MeanPromptTokens: 4960, PromptSigma: 0.9, MaxPromptTokens: 23800, MeanEvents: 33, EventsSigma: 0.7,
+			Objective: 300 * time.Millisecond, MaxEventGap: 200 * time.Millisecond, Timeout: 10 * time.Second, Payoff: 1.4, LatePayoff: 0.34, Wave: wave,
+		},
+		medium: Workload{
+			Name: "medium", PerSecond: 6.18, MeanPromptTokens: 45000, PromptSigma: 0.5, MaxPromptTokens: 110000, MeanEvents: 19.8, EventsSigma: 0.6,
+			Objective: 1500 * time.Millisecond, MaxEventGap: 500 * time.Millisecond, Timeout: 10 * time.Second, Payoff: 2.6, LatePayoff: 0.66, Wave: wave,
+		},
+		long: Workload{
+			Name: "long", PerSecond: 1.83, MeanPromptTokens: 300000, PromptSigma: 0.55, MaxPromptTokens: 1e6, MeanEvents: 16.5, EventsSigma: 0.5,
+			Objective: 4 * time.Second, MaxEventGap: 800 * time.Millisecond, Timeout: 15 * time.Second, Payoff: 30, LatePayoff: 7.5, Wave: wave,
+		},
+	}
+}
+
+// rankedKinds are kinds whose routes have different priorities, the short ones the highest.
+func rankedKinds() kinds {
+	wave := Wave{Swing: 0.2, Period: 11 * time.Second, Phase: 0.2}
+	return kinds{
+		short: Workload{
+			Name: "short", PerSecond: 74.8, MeanPromptTokens: 4960, PromptSigma: 0.9, MaxPromptTokens: 23800, MeanEvents: 31, EventsSigma: 0.7,
+			Objective: 250 * time.Millisecond, MaxEventGap: 250 * time.Millisecond, Timeout: 10 * time.Second, Payoff: 1.8, LatePayoff: 0.18, Wave: wave, Importance: 4,
+		},
+		medium: Workload{
+			Name: "medium", PerSecond: 8.84, MeanPromptTokens: 45000, PromptSigma: 0.5, MaxPromptTokens: 110000, MeanEvents: 18, EventsSigma: 0.6,
+			Objective: 1500 * time.Millisecond, MaxEventGap: 600 * time.Millisecond, Timeout: 10 * time.Second, Payoff: 2.4, LatePayoff: 0.61, Wave: wave, Importance: 2,
+		},
+		long: Workload{
+			Name: "long", PerSecond: 3.15, MeanPromptTokens: 190000, PromptSigma: 0.55, MaxPromptTokens: 600000, MeanEvents: 15, EventsSigma: 0.5,
+			Objective: 6 * time.Second, MaxEventGap: time.Second, Timeout: 15 * time.Second, Payoff: 7.3, LatePayoff: 2.8, Wave: wave,
+		},
+	}
+}
+
 // phase is a period in which the kinds of request have other shares.
 type phase struct {
 	start, end          time.Duration
 	short, medium, long float64 // factors of the ordinary rates
 }
 
+// phaseBetween returns a phase from one time to another, in seconds.
+func phaseBetween(start, end, short, medium, long float64) phase {
+	at := func(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+	return phase{start: at(start), end: at(end), short: short, medium: medium, long: long}
+}
+
 // inPhases returns the workloads at their ordinary rates, but for the phases.
-func inPhases(short, medium, long Workload, duration time.Duration, phases ...phase) []Workload {
+func (k kinds) inPhases(duration time.Duration, phases ...phase) []Workload {
 	var out []Workload
 	add := func(start, end time.Duration, p phase) {
 		if start < end {
-			out = append(out, short.Scaled(p.short).During(start, end), medium.Scaled(p.medium).During(start, end), long.Scaled(p.long).During(start, end))
+			out = append(out, k.short.Scaled(p.short).During(start, end), k.medium.Scaled(p.medium).During(start, end), k.long.Scaled(p.long).During(start, end))
 		}
 	}
 	at := time.Duration(0)
@@ -46,31 +93,15 @@
 // of request swap their shares within moments, so that either the prefill of long prompts
 // or the slots for short ones are short.
 func Loads() map[string]Scenario {
-	const second = time.Second
-	wave := Wave{Swing: 0.55, Period: 13 * second, Phase: 0.18}
-	hint := Workload{Name: "short", PerSecond: 67.4, MeanPromptTokens: 4960, PromptSigma: 0.9, MaxPromptTokens: 23800, MeanEvents: 33, EventsSigma: 0.7,
-		Objective: 300 * time.Millisecond, MaxEventGap: 200 * time.Millisecond, Timeout: 10 * second, Payoff: 1.4, LatePayoff: 0.34, Wave: wave}
-	review := Workload{Name: "medium", PerSecond: 6.18, MeanPromptTokens: 45000, PromptSigma: 0.5, MaxPromptTokens: 110000, MeanEvents: 19.8, EventsSigma: 0.6,
-		Objective: 1500 * time.Millisecond, MaxEventGap: 500 * time.Millisecond, Timeout: 10 * second, Payoff: 2.6, LatePayoff: 0.66, Wave: wave}
-	study := Workload{Name: "long", PerSecond: 1.83, MeanPromptTokens: 300000, PromptSigma: 0.55, MaxPromptTokens: 1e6, MeanEvents: 16.5, EventsSigma: 0.5,
-		Objective: 4 * second, MaxEventGap: 800 * time.Millisecond, Timeout: 15 * second, Payoff: 30, LatePayoff: 7.5, Wave: wave}
-	longFirst := []phase{{2400 * time.Millisecond, 11900 * time.Millisecond, 0.34, 1.3, 2.7}, {13 * second, 22500 * time.Millisecond, 2.4, 0.5, 0.05}, {23 * second, 32500 * time.Millisecond, 0.39, 1.3, 2.6}}
-	shortFirst := []phase{{2400 * time.Millisecond, 11900 * time.Millisecond, 2.4, 0.5, 0.05}, {13 * second, 22500 * time.Millisecond, 0.35, 1.3, 2.7}, {23 * second, 32500 * time.Millisecond, 2.4, 0.5, 0.05}}
-	large := Scenario{Engine: largeEngine, Hosts: 76, Engines: 45, Duration: 36 * second, PropagationDelay: 20 * time.Millisecond, ImpatientCallers: true}
-	longTurn, shortTurn := large, large
-	longTurn.Workloads = inPhases(hint, review, study, large.Duration, longFirst...)
-	shortTurn.Workloads = inPhases(hint, review, study, large.Duration, shortFirst...)
-
-	mild := Wave{Swing: 0.2, Period: 11 * second, Phase: 0.2}
-	explain := Workload{Name: "short", PerSecond: 74.8, MeanPromptTokens: 4960, PromptSigma: 0.9, MaxPromptTokens: 23800, MeanEvents: 31, EventsSigma: 0.7,
-		Objective: 250 * time.Millisecond, MaxEventGap: 250 * time.Millisecond, Timeout: 10 * second, Payoff: 1.8, LatePayoff: 0.18, Wave: mild}
-	patch := Workload{Name: "medium", PerSecond: 8.84, MeanPromptTokens: 45000, PromptSigma: 0.5, MaxPromptTokens: 110000, MeanEvents: 18, EventsSigma: 0.6,
-		Objective: 1500 * time.Millisecond, MaxEventGap: 600 * time.Millisecond, Timeout: 10 * second, Payoff: 2.4, LatePayoff: 0.61, Wave: mild}
-	tree := Workload{Name: "long", PerSecond: 3.15, MeanPromptTokens: 190000, PromptSigma: 0.55, MaxPromptTokens: 600000, MeanEvents: 15, EventsSigma: 0.5,
-		Objective: 6 * second, MaxEventGap: second, Timeout: 15 * second, Payoff: 7.3, LatePayoff: 2.8, Wave: mild}
-	explain.Importance, patch.Importance = 4, 2
-	small := Scenario{Engine: smallEngine, Hosts: 71, Engines: 60, Duration: 36 * second, PropagationDelay: 20 * time.Millisecond, ImpatientCallers: true}
-	small.Workloads = inPhases(explain, patch, tree, small.Duration,
-		phase{3300 * time.Millisecond, 9700 * time.Millisecond, 1, 1, 2.3}, phase{12 * second, 15800 * time.Millisecond, 1.6, 1, 1}, phase{20 * second, 29500 * time.Millisecond, 0.34, 1.3, 2.8})
-	return map[string]Scenario{"long-then-short": longTurn, "short-then-long": shortTurn, "uneven-kinds": small}
+	const duration = 36 * time.Second
+	fleet := Scenario{Engine: largeEngine, Hosts: 76, Engines: 45, Duration: duration, PropagationDelay: 20 * time.Millisecond, ImpatientCallers: true}
+	longThenShort, shortThenLong, uneven := fleet, fleet, fleet
+	longThenShort.Workloads = largeKinds().inPhases(duration,
+		phaseBetween(2.4, 11.9, 0.34, 1.3, 2.7), phaseBetween(13, 22.5, 2.4, 0.5, 0.05), phaseBetween(23, 32.5, 0.39, 1.3, 2.6))
+	shortThenLong.Workloads = largeKinds().inPhases(duration,
+		phaseBetween(2.4, 11.9, 2.4, 0.5, 0.05), phaseBetween(13, 22.5, 0.35, 1.3, 2.7), phaseBetween(23, 32.5, 2.4, 0.5, 0.05))
+	uneven.Engine, uneven.Hosts, uneven.Engines = smallEngine, 71, 60
+	uneven.Workloads = rankedKinds().inPhases(duration,
+		phaseBetween(3.3, 9.7, 1, 1, 2.3), phaseBetween(12, 15.8, 1.6, 1, 1), phaseBetween(20, 29.5, 0.34, 1.3, 2.8))
+	return map[string]Scenario{"long-then-short": longThenShort, "short-then-long": shortThenLong, "uneven-kinds": uneven}
 }
