Placement: recent failures of an engine are no predicted wait

Cause: the penalty for failed connections was part of the predicted wait. It decays hyperbolically, so after a cut through which one kept connection lived on (the service never counted as unreachable, and the failures were not cleared) it exceeded what was left of a long prompt's patience for half a minute, and the prompt was refused as hopeless although nothing was queued. It counted in admission under contention as well. Change: the penalty still makes an engine a worse choice, but is no part of the predicted wait, of the lateness that engines are told, or of the backlog.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -76,6 +76,7 @@
 	engines     []*engineSnapshot // the first one decodes
 	prefillTime time.Duration     // of each engine's part
 	wait        time.Duration     // predicted, until the first event
+	penalty     time.Duration     // extra wait that recent failures of the engines count for
 	cost        float64           // expected weight of late requests, plus penalties
 }
 
@@ -189,13 +190,14 @@
 	for _, r := range chosen {
 		ch.engines = append(ch.engines, r.snap)
 		ch.wait = max(ch.wait, r.wait)
+		ch.penalty = max(ch.penalty, r.snap.penalty)
 		ch.cost += r.interference
 	}
 	if !c.singleEngine() {
 		ch.wait += c.slotWait(ch.engines[0], ch.wait)
 		ch.cost += c.decodeCost(ch.engines[0], parts)
 	}
-	ch.cost += c.latenessCost(ch.wait)
+	ch.cost += c.latenessCost(ch.wait + ch.penalty)
 	return ch
 }
 
@@ -231,7 +233,7 @@
 	} else if !snap.inPrefillPool {
 		r.interference += prefillOutsidePoolCost * prefillTime.Seconds()
 	}
-	r.total = r.interference + c.latenessCost(r.wait)
+	r.total = r.interference + c.latenessCost(r.wait+snap.penalty)
 	return r
 }
 
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -108,10 +108,11 @@
 	return e.PrefillTime(tokens)/time.Duration(parts) + time.Duration(chunks)*e.StepTime
 }
 
-// timeToFirstEvent predicts the time to the first event of a new prompt.
+// timeToFirstEvent predicts the time to the first event of a new prompt. Recent failures
+// don't count: they make an engine a worse choice, but tell nothing about its queue.
 func (snap *engineSnapshot) timeToFirstEvent(e *catalog.Engine, prefillTime time.Duration) time.Duration {
 	pass := max(snap.passTime, time.Duration(e.StepsPerPass)*e.StepTime)
-	return snap.penalty + snap.backlog + snap.passTime/2 + prefillTime + pass
+	return snap.backlog + snap.passTime/2 + prefillTime + pass
 }
 
 // freeSlots returns the number of slots without a request that holds or waits for them.
