Admission without a threshold of the objective; losses and ablation as commands

'logs losses' and 'logs explain' name the fate and the cause of each request, from a log line of late answers and two fields of refusals.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -78,6 +78,9 @@
 	if _, err := logsCmd.AddCommand("explain", "Show what happened to a request.", "Show what happened to a request.", &logsExplainCommand{streams: streams}); err != nil {
 		panic(err)
 	}
+	if _, err := logsCmd.AddCommand("losses", "Show what became of all requests, and why some were not served in time.", "Show what became of all requests, and why some were not served in time.", &logsLossesCommand{streams: streams}); err != nil {
+		panic(err)
+	}
 	rulesCmd := addCommand("rules", "Work with rules.", &rulesCommand{})
 	if _, err := rulesCmd.AddCommand("check", "Check a file of rules.", "Check a file of rules.", &rulesCheckCommand{streams: streams}); err != nil {
 		panic(err)
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -12,13 +12,15 @@
 )
 
 type experimentCommand struct {
-	Loads   []string `long:"load" description:"load to play; all if left out"`
-	Seeds   uint64   `long:"seeds" default:"3" description:"number of seeds over which figures are averaged"`
-	streams Streams
+	Loads    []string `long:"load" description:"load to play; all if left out"`
+	Seeds    uint64   `long:"seeds" default:"3" description:"number of seeds over which figures are averaged"`
+	Ablation bool     `long:"ablation" description:"play each load with each mechanism of placement switched off"`
+	streams  Streams
 }
 
-// Execute plays heavy loads in the model, with and without admission under contention, and
-// prints what callers get beside what no scheduler could exceed.
+// Execute plays heavy loads in the model and prints what callers get: with and without
+// admission under contention, beside what no scheduler could exceed, or with each mechanism of
+// placement switched off.
 func (c *experimentCommand) Execute([]string) error {
 	loads := fleetmodel.Loads()
 	names := c.Loads
@@ -33,7 +35,11 @@
 		if !known {
 			return &usageError{fmt.Errorf("load %q is not known, choose among %s", name, strings.Join(slices.Sorted(maps.Keys(loads)), ", "))}
 		}
-		if err := c.play(c.streams.Out, name, load); err != nil {
+		play := c.play
+		if c.Ablation {
+			play = c.ablate
+		}
+		if err := play(c.streams.Out, name, load); err != nil {
 			return err
 		}
 	}
--- a/internal/cli/logs.go
+++ b/internal/cli/logs.go
@@ -1,11 +1,13 @@
 package cli
 
 import (
+	"fmt"
 	"os"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/plantainrun/plantainrun/internal/explain"
+	"github.com/plantainrun/plantainrun/internal/losses"
 )
 
 type logsCommand struct{}
@@ -32,7 +34,71 @@
 	if len(history) == 0 {
 		return eris.Errorf("no log line mentions request %s: pass the logs of every host that may have handled it", c.Args.Request)
 	}
-	return explain.Write(c.streams.Out, history)
+	if err := explain.Write(c.streams.Out, history); err != nil {
+		return err
+	}
+	return c.writeCause()
+}
+
+// writeCause prints what became of the request, and why.
+func (c *logsExplainCommand) writeCause() error {
+	collector := losses.NewCollector()
+	collector.Only = c.Args.Request
+	if err := collectFiles(collector, c.Args.Files); err != nil {
+		return err
+	}
+	for _, r := range collector.Requests() {
+		fmt.Fprintf(c.streams.Out, "%s at %s", r.Fate, r.Host)
+		if r.Cause != "" {
+			fmt.Fprintf(c.streams.Out, ", cause: %s", r.Cause)
+		}
+		fmt.Fprintln(c.streams.Out)
+	}
+	return nil
+}
+
+type logsLossesCommand struct {
+	JSON bool `long:"json" description:"print JSON"`
+	Args struct {
+		Files []string `positional-arg-name:"FILE" description:"logs of the hosts" required:"1"`
+	} `positional-args:"yes"`
+	streams Streams
+}
+
+// Execute prints what became of the requests in the logs of several hosts, and why those that
+// were not served in time were not.
+func (c *logsLossesCommand) Execute([]string) error {
+	collector := losses.NewCollector()
+	if err := collectFiles(collector, c.Args.Files); err != nil {
+		return err
+	}
+	requests := collector.Requests()
+	if len(requests) == 0 {
+		return eris.New("no log line mentions a request: pass the logs that hosts write to standard output")
+	}
+	report := losses.NewReport(requests)
+	if c.JSON {
+		return report.WriteJSON(c.streams.Out)
+	}
+	return report.WriteText(c.streams.Out)
+}
+
+func collectFiles(collector *losses.Collector, paths []string) error {
+	for _, path := range paths {
+		if err := collectFile(collector, path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func collectFile(collector *losses.Collector, path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return eris.Wrap(err, "cannot open the log")
+	}
+	defer file.Close()
+	return eris.Wrapf(collector.Read(file, path), "log %s", path)
 }
 
 func readLog(path string) ([]explain.Line, error) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -50,16 +50,26 @@
 	return lines, scanner.Err()
 }
 
-func parse(text []byte, source string) (Line, bool) {
+// SplitPrefix splits a log line into the prefix before its JSON object and the object. The
+// last word of the prefix is the source of the line, if there is one.
+func SplitPrefix(text []byte, source string) (object []byte, lineSource string, ok bool) {
 	start := bytes.IndexByte(text, '{')
 	if start < 0 {
-		return Line{}, false
+		return nil, "", false
 	}
 	if words := strings.Fields(string(text[:start])); len(words) > 0 {
 		source = words[len(words)-1]
 	}
+	return text[start:], source, true
+}
+
+func parse(text []byte, source string) (Line, bool) {
+	object, source, ok := SplitPrefix(text, source)
+	if !ok {
+		return Line{}, false
+	}
 	var members map[string]json.RawMessage
-	if err := json.Unmarshal(text[start:], &members); err != nil {
+	if err := json.Unmarshal(object, &members); err != nil {
 		return Line{}, false // not a structured log line
 	}
 	l := Line{Source: source}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -84,7 +84,7 @@
 // each feasible number of parts and takes the one with the lowest cost. The helpers only
 // prefill. The error is a *BacklogError.
 func (p *Placement) choosePrompt(req *Request, candidates, helpers []*targetLoad, s *shard, now time.Time) ([]Share, error) {
-	c := newChooser(req, candidates, helpers, s, now)
+	c := newChooser(req, candidates, helpers, s, p.placer.policy, now)
 	c.unseenPrompts = s.demand.shortPrompts.perSecond(now) * time.Duration(p.placer.propagationDelay.Load()).Seconds()
 	var best *choice
 	for _, parts := range c.feasiblePartCounts() {
@@ -96,7 +96,7 @@
 		return nil, err
 	}
 	p.Primary, p.PredictedWait = best.engines[0].load.target, best.wait
-	p.Late = c.late(best.wait)
+	p.Late = c.policy.LateLast && c.late(best.wait)
 	reserved := reservation(req, len(best.engines))
 	shares := make([]Share, 0, len(best.engines))
 	for i, snap := range best.engines {
@@ -121,14 +121,17 @@
 	shortRatePerEngine float64 // short prompts per second and engine
 	blockedFraction    float64 // expected fraction of short prompts that meet a blocked engine
 	unseenPrompts      float64 // expected short prompts that peers have placed and this host has not learned of yet
+	demand             *demand
+	policy             Policy
+	now                time.Time
 	random             *rand.Rand
 }
 
-func newChooser(req *Request, candidates, helpers []*targetLoad, s *shard, now time.Time) *chooser {
-	c := &chooser{req: req, engine: req.Engine, weight: req.weight(), random: s.random}
+func newChooser(req *Request, candidates, helpers []*targetLoad, s *shard, policy Policy, now time.Time) *chooser {
+	c := &chooser{req: req, engine: req.Engine, weight: req.weight(), demand: &s.demand, policy: policy, now: now, random: s.random}
 	blocked := 0
 	for i, l := range slices.Concat(candidates, helpers) {
-		snap := newEngineSnapshot(l, req.Engine, now)
+		snap := newEngineSnapshot(l, req.Engine, policy, now)
 		snap.onlyHelps = i >= len(candidates)
 		if snap.backlog > blockingBacklog {
 			blocked++
@@ -137,7 +140,9 @@
 	}
 	n := float64(len(c.engines))
 	c.shortRatePerEngine = s.demand.shortPrompts.perSecond(now) / n
-	assignRoles(c.engines, c.engine.Slots, s.demand.longPrefill.perSecond(now), s.demand.shortPrompts.perSecond(now))
+	if policy.PrefillPool {
+		assignRoles(c.engines, c.engine.Slots, s.demand.longPrefill.perSecond(now), s.demand.shortPrompts.perSecond(now))
+	}
 	c.blockedFraction = minBlockedFraction + float64(blocked)/n
 	return c
 }
@@ -149,6 +154,9 @@
 		return []int{1}
 	}
 	minCount := minParts(c.req)
+	if !c.policy.SplitPrefill {
+		return []int{min(minCount, len(c.engines))}
+	}
 	var out []int
 	for _, n := range consideredPartCounts {
 		if n >= minCount && n <= len(c.engines) {
@@ -180,7 +188,7 @@
 		ranked = append(ranked, cost)
 	}
 	slices.SortFunc(ranked, func(a, b engineCost) int { return compareFloat(a.total, b.total) })
-	if c.singleEngine() {
+	if c.singleEngine() && c.policy.RandomChoice {
 		c.spread(ranked)
 	}
 	ensureDecodeEngine(ranked, parts)
@@ -241,7 +249,7 @@
 // request that will be late even so is admitted after all that are not.
 func (c *chooser) slotWait(snap *engineSnapshot, wait time.Duration) time.Duration {
 	timely := snap.slotWait(c.engine, false)
-	if !c.late(wait + timely) {
+	if !c.policy.LateLast || !c.late(wait+timely) {
 		return timely
 	}
 	return snap.slotWait(c.engine, true)
@@ -253,6 +261,9 @@
 // interferenceCost is the cost of the prefill to the requests at an engine and to
 // short prompts that arrive during it.
 func (c *chooser) interferenceCost(snap *engineSnapshot, prefillTime time.Duration) float64 {
+	if !c.policy.Interference {
+		return 0
+	}
 	sum := 0.0
 	before := snap.passTime + snap.backlog
 	for _, b := range snap.decoding {
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -66,8 +66,14 @@
 	return b.weight * (late + abandoned)
 }
 
-func newEngineSnapshot(l *targetLoad, e *catalog.Engine, now time.Time) *engineSnapshot {
-	snap := &engineSnapshot{load: l, backlog: l.backlog(now), penalty: l.penalty(now), noMemory: now.Sub(l.noMemoryAt) < noMemoryWindow}
+func newEngineSnapshot(l *targetLoad, e *catalog.Engine, policy Policy, now time.Time) *engineSnapshot {
+	snap := &engineSnapshot{load: l, backlog: l.backlog(now), noMemory: now.Sub(l.noMemoryAt) < noMemoryWindow}
+	if policy.OverdueBacklog {
+		snap.backlog = max(snap.backlog, l.overdue(now))
+	}
+	if policy.FailurePenalty {
+		snap.penalty = l.penalty(now)
+	}
 	context := 0
 	for _, j := range l.jobs {
 		t, s := j.trackedJob, j.share
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -119,9 +119,9 @@
 }
 
 // backlog is the predicted time until the engine has prefilled all assigned
-// prompts.
+// prompts, if none is overdue.
 func (l *targetLoad) backlog(now time.Time) time.Duration {
-	return max(l.prefillDoneAt.Sub(now), l.minBacklog(nil), l.overdue(now))
+	return max(l.prefillDoneAt.Sub(now), l.minBacklog(nil))
 }
 
 func (l *targetLoad) decayedFailureRate(now time.Time) float64 {
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -18,6 +18,7 @@
 	now      func() time.Time
 	seed     uint64
 	observer JobObserver
+	policy   Policy
 	// reachabilityChanged is told of services that become unreachable or reachable.
 	reachabilityChanged func(ReachabilityChange)
 	lastID              atomic.Uint64
@@ -53,7 +54,7 @@
 // the random choice between equal targets with seed.
 func NewPlacer(now func() time.Time, seed uint64) *Placer {
 	pl := &Placer{
-		now: now, seed: seed, observer: noopObserver{}, reachabilityChanged: func(ReachabilityChange) {}, shards: make(map[string]*shard),
+		now: now, seed: seed, observer: noopObserver{}, policy: DefaultPolicy(), reachabilityChanged: func(ReachabilityChange) {}, shards: make(map[string]*shard),
 	}
 	pl.SetPeers(1, 1)
 	return pl
@@ -134,6 +135,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !pl.policy.Importance {
+		req.Importance, req.Rank = 0, 0
+	}
 	p := &Placement{placer: pl, shard: s}
 	var shares []Share
 	if req.Engine == nil {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -211,6 +211,7 @@
 	j.attempts++
 	j.attemptEvents = 0
 	j.attemptStarted = time.Now()
+	j.recordSent(placed.PredictedWait)
 	j.triedTargets = append(j.triedTargets, placed.Primary.ID)
 	call := Call{
 		Request: j.req, Target: placed.Primary, Organisation: j.organisation, Remaining: j.remaining(),
@@ -223,7 +224,7 @@
 	if j.responseStarted {
 		call.LastEventID = j.seq.lastEventID()
 	}
-	j.log("attempt", zap.String("target", placed.Primary.ID), zap.String("domain", placed.Primary.Domain),
+	j.log("attempt", zap.String("organisation", j.organisation), zap.String("target", placed.Primary.ID), zap.String("domain", placed.Primary.Domain),
 		zap.Duration("predicted_wait", placed.PredictedWait), zap.Bool("late", placed.Late), zap.Strings("helpers", reservations.helperIDs()),
 		zap.Int("prompt_tokens", j.req.PromptTokens), zap.Duration("view_age", j.relay.cfg.Views.Age()))
 	return j.relay.cfg.Transport.Send(ctx, call)
@@ -327,6 +328,7 @@
 	}
 	dest.End(placement.Served)
 	j.recordAnswer(dest)
+	j.logLateness(time.Since(j.req.Arrived))
 	j.recordOutcome("done", dest, zap.Int("status", resp.Status))
 	j.writer.WriteResponse(resp.Status, resp.Header, body)
 	return resultFinal, ""
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -56,6 +56,9 @@
 	responseStarted bool          // the status and header have been sent to the caller
 	seq             eventSequence // of the events sent to the caller
 	attemptEvents   int           // events of the current attempt
+	sentAfter       time.Duration // from arrival to the first attempt
+	firstEventAfter time.Duration // from arrival to the first event; 0 before it
+	predictedWait   time.Duration // of the latest placement
 	// longestEventGap is the longest time between two events of one attempt.
 	longestEventGap time.Duration
 	lastFailure     *bufferedResponse // latest response of a target that failed
@@ -198,28 +201,25 @@
 		j.log("relaying failed response", zap.Int("status", j.lastFailure.response.Status))
 		j.writer.WriteResponse(j.lastFailure.response.Status, j.lastFailure.response.Header, j.lastFailure.body)
 	case j.possibleExecutions > 0 && j.remaining() < minAttemptTime:
-		j.relay.refuse(j.req, j.writer, NewRefusal(ReasonTimeout))
+		j.refuse(NewRefusal(ReasonTimeout))
 	case j.possibleExecutions > 0:
-		j.relay.refuse(j.req, j.writer, NewRefusal(ReasonNoUsableResponse))
+		j.refuse(NewRefusal(ReasonNoUsableResponse))
 	case j.refusal != nil:
-		j.relay.refuse(j.req, j.writer, *j.refusal)
+		j.refuse(*j.refusal)
 	default:
-		j.relay.refuse(j.req, j.writer, NewRefusal(reason).after(j.retryAfter))
+		j.refuse(NewRefusal(reason).after(j.retryAfter))
 	}
 }
 
 // placementRequest returns the request's requirements for placement.
 func (j *job) placementRequest() placement.Request {
+	precedence := j.precedence()
 	req := placement.Request{
 		Service: j.serviceName, Engine: j.service.Engine, PromptTokens: j.req.PromptTokens,
 		Objective: j.route.Objective, MaxEventGap: j.route.MaxEventGap, AbandonAfter: j.route.AbandonAfter(),
 		Waited: time.Since(j.req.Arrived), ExcludedTargets: j.triedTargets,
 		ColdRate: j.service.ColdRate, ColdPeriod: j.service.ColdPeriod,
-		Importance: j.precedence().Importance,
-	}
-	if j.contended() {
-		req.Contended = true
-		req.Waited += j.spentBefore()
+		Importance: precedence.Importance, Rank: precedence.Rank, Contended: j.contended(),
 	}
 	req.OutputTokens = outputEstimateOffset + int(outputEstimateFactor*float64(j.req.ExpectedOutputTokens))
 	if j.req.MaxOutputTokens > 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,9 +58,9 @@
 	Settings  Settings
 	// HostID is the prefix that makes reservation ids unique across hosts.
 	HostID string
-	// MinContendedObjective is the shortest objective of routes whose long prompts are
-	// subject to admission under contention; 0 for none.
-	MinContendedObjective time.Duration
+	// AdmitAllPrompts turns off admission under contention: long prompts are never refused
+	// since the engines have too much backlog.
+	AdmitAllPrompts bool
 	// Regions holds the region of each failure domain.
 	Regions map[string]string
 }
@@ -200,12 +200,13 @@
 	return ReasonConfigUnconfirmed
 }
 
-func (r *Relay) refuse(req *Request, writer ResponseWriter, refusal Refusal) {
+// refuse refuses a request. fields are logged in addition.
+func (r *Relay) refuse(req *Request, writer ResponseWriter, refusal Refusal, fields ...zap.Field) {
 	r.cfg.Observer.Refused(refusal.Reason)
-	r.cfg.Log.Info("request refused",
+	r.cfg.Log.Info("request refused", append(fields,
 		zap.String("request", req.ID), zap.String("reason", string(refusal.Reason)), zap.Int("status", refusal.Status),
 		zap.Duration("retry_after", refusal.RetryAfter), zap.Duration("view_age", r.cfg.Views.Age()),
-		zap.Duration("took", time.Since(req.Arrived)))
+		zap.Duration("took", time.Since(req.Arrived)))...)
 	writer.WriteRefusal(refusal)
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -63,6 +63,9 @@
 
 func (j *job) recordFirstEvent(dest destination) {
 	took := time.Since(j.req.Arrived)
+	if j.firstEventAfter == 0 {
+		j.firstEventAfter = took
+	}
 	j.relay.cfg.Observer.FirstEvent(j.route.Name, took)
 	j.log("first event", dest.fields()...)
 }
@@ -76,6 +79,7 @@
 		j.recordAnswer(dest)
 	}
 	dest.End(placement.Served)
+	j.logLateness(j.firstEventAfter)
 	j.recordOutcome("done", dest, zap.String("last_event", j.seq.lastEventID()), zap.Duration("longest_pause", j.longestEventGap))
 	return resultFinal
 }
--- a/internal/standin/fleetmodel/fleetmodel.go
+++ b/internal/standin/fleetmodel/fleetmodel.go
@@ -32,8 +32,9 @@
 	// LimitedEngines is how many engines name a rate limit of LimitPerSecond.
 	LimitedEngines int
 	LimitPerSecond float64
-	// Contention switches on admission under contention, for workloads with an objective of
-	// minContendedObjective or more.
+	// Policy is the placement policy; nil for the default one.
+	Policy *placement.Policy
+	// Contention switches on admission under contention.
 	Contention bool
 }
 
@@ -130,6 +131,9 @@
 		pl := placement.NewPlacer(func() time.Time { return start.Add(sim.fleet.Now()) }, seed+uint64(i))
 		pl.SetObserver(jobReporter{sim, i})
 		pl.SetPropagationDelay(s.PropagationDelay)
+		if s.Policy != nil {
+			pl.SetPolicy(*s.Policy)
+		}
 		pl.SetPeers(s.Hosts, s.Hosts)
 		for _, t := range sim.targets[:s.LimitedEngines] {
 			pl.RecordPeerRateLimit(placement.TargetRateLimit{Service: service, Target: t.TargetKey, Limit: placement.RateLimit{PerSecond: s.LimitPerSecond, Named: true}})
@@ -201,9 +205,6 @@
 }
 
 const (
-	// minContendedObjective is the shortest objective of prompts under admission, as in the
-	// relay.
-	minContendedObjective = 4 * time.Second
 	// refusedRetryAfter is when a caller comes back whose predicted wait was too long.
 	refusedRetryAfter = 500 * time.Millisecond
 	// maxRetryAfterFraction is the largest fraction of the time left that callers wait
@@ -221,7 +222,7 @@
 	}
 	r.retried = true
 	sim.after(retryAfter, func() {
-		r.host = sim.random.IntN(sim.Hosts)
+		r.host, r.arrivedAt = sim.random.IntN(sim.Hosts), sim.fleet.Now()
 		sim.arrive(r)
 	})
 }
@@ -305,7 +306,7 @@
 func (sim *simulation) place(r request) (*placement.Placement, []int, error) {
 	req := placement.Request{
 		Service: service, Engine: &sim.Engine, PromptTokens: r.tokens, OutputTokens: r.outputHint,
-		Objective: r.Objective, MaxEventGap: r.MaxEventGap, AbandonAfter: r.AbandonAfter(), Waited: sim.fleet.Now() - r.at, Importance: r.Importance, Contended: sim.Contention && r.Objective >= minContendedObjective,
+		Objective: r.Objective, MaxEventGap: r.MaxEventGap, AbandonAfter: r.AbandonAfter(), Waited: sim.fleet.Now() - r.arrivedAt, Importance: r.Importance, Rank: r.Rank, Contended: sim.Contention,
 	}
 	targets := sim.targets
 	if sim.RandomPlacement {
