--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -19,15 +19,15 @@
 const settingsPollInterval = 5 * time.Second
 
 type edgeCommand struct {
-	Config          string `long:"config" env:"PLANTAINRUN_CONFIG" description:"path of the platform's settings file"`
-	AdmitAllPrompts bool   `long:"admit-all-prompts" env:"PLANTAINRUN_ADMIT_ALL_PROMPTS" description:"never refuse long prompts since the engines have too much backlog"`
-	streams         Streams
+	Config                string        `long:"config" env:"PLANTAINRUN_CONFIG" description:"path of the platform's settings file"`
+	MinContendedObjective time.Duration `long:"min-contended-objective" env:"PLANTAINRUN_MIN_CONTENDED_OBJECTIVE" default:"4s" description:"shortest objective of routes whose long prompts are refused while the engines would begin with them too late; 0 for none"`
+	streams               Streams
 }
 
 // readSettings reads the platform's settings and adds those of the command line.
 func (c *edgeCommand) readSettings() (edge.Settings, error) {
 	settings, err := platform.ReadSettings(c.Config)
-	settings.AdmitAllPrompts = c.AdmitAllPrompts
+	settings.MinContendedObjective = c.MinContendedObjective
 	return settings, err
 }
 
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -115,7 +115,7 @@
 		HostID:      settings.HostID,
 		Regions:     settings.Regions,
 
-		AdmitAllPrompts: settings.AdmitAllPrompts,
+		MinContendedObjective: settings.MinContendedObjective,
 	})
 	h.metrics.observeQuarantine(h.relay)
 	h.peers.Attach(h.relay, h.follower)
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -25,9 +25,9 @@
 	StoreAddr   netip.AddrPort
 	Seeds       []netip.AddrPort // initial peers to contact; some may be down
 
-	// AdmitAllPrompts turns off admission under contention: long prompts are never refused
-	// since the engines have too much backlog.
-	AdmitAllPrompts bool
+	// MinContendedObjective is the shortest objective of routes whose long prompts are
+	// subject to admission under contention; 0 for none.
+	MinContendedObjective time.Duration
 	// GracePeriod is the time from the request to terminate until the process is
 	// killed.
 	GracePeriod time.Duration
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -121,14 +121,12 @@
 	shortRatePerEngine float64 // short prompts per second and engine
 	blockedFraction    float64 // expected fraction of short prompts that meet a blocked engine
 	unseenPrompts      float64 // expected short prompts that peers have placed and this host has not learned of yet
-	demand             *demand
 	policy             Policy
-	now                time.Time
 	random             *rand.Rand
 }
 
 func newChooser(req *Request, candidates, helpers []*targetLoad, s *shard, policy Policy, now time.Time) *chooser {
-	c := &chooser{req: req, engine: req.Engine, weight: req.weight(), demand: &s.demand, policy: policy, now: now, random: s.random}
+	c := &chooser{req: req, engine: req.Engine, weight: req.weight(), policy: policy, random: s.random}
 	blocked := 0
 	for i, l := range slices.Concat(candidates, helpers) {
 		snap := newEngineSnapshot(l, req.Engine, policy, now)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -30,8 +30,6 @@
 	Waited       time.Duration // since the request's arrival
 	// Importance multiplies the cost of the request being late; 0 counts as 1.
 	Importance float64
-	// Rank is 0 for the most urgent requests of the service, 1 for the next, and so on.
-	Rank int
 	// Contended means that the prompt is subject to admission under contention.
 	Contended bool
 	// ColdRate is the number of requests per second that a cold target of the service accepts
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -136,7 +136,7 @@
 		return nil, err
 	}
 	if !pl.policy.Importance {
-		req.Importance, req.Rank = 0, 0
+		req.Importance = 0
 	}
 	p := &Placement{placer: pl, shard: s}
 	var shares []Share
--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -28,16 +28,6 @@
 type demand struct {
 	shortPrompts rate // prompts
 	longPrefill  rate // seconds of prefill of prompts that are not short
-	objectives   rate // the same, multiplied by the time until the objective in seconds
-}
-
-// meanObjective returns the mean objective of the prefill of long prompts that arrived
-// lately, with one more prompt.
-func (d *demand) meanObjective(work, objective time.Duration, now time.Time) time.Duration {
-	own := min(work, maxCountedPrefill).Seconds()
-	total := d.longPrefill.sum.Value(now, rateTimeConstant) + own
-	weighted := d.objectives.sum.Value(now, rateTimeConstant) + own*objective.Seconds()
-	return time.Duration(weighted / total * float64(time.Second))
 }
 
 func (d *demand) recordArrival(j *Job, now time.Time) {
@@ -50,8 +40,6 @@
 	case prefillTime <= maxShortPrefill:
 		d.shortPrompts.add(1, now)
 	default:
-		counted := min(prefillTime, maxCountedPrefill).Seconds()
-		d.longPrefill.add(counted, now)
-		d.objectives.add(counted*max(j.Objective, 0).Seconds(), now)
+		d.longPrefill.add(min(prefillTime, maxCountedPrefill).Seconds(), now)
 	}
 }
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -213,13 +213,16 @@
 
 // placementRequest returns the request's requirements for placement.
 func (j *job) placementRequest() placement.Request {
-	precedence := j.precedence()
 	req := placement.Request{
 		Service: j.serviceName, Engine: j.service.Engine, PromptTokens: j.req.PromptTokens,
 		Objective: j.route.Objective, MaxEventGap: j.route.MaxEventGap, AbandonAfter: j.route.AbandonAfter(),
 		Waited: time.Since(j.req.Arrived), ExcludedTargets: j.triedTargets,
 		ColdRate: j.service.ColdRate, ColdPeriod: j.service.ColdPeriod,
-		Importance: precedence.Importance, Rank: precedence.Rank, Contended: j.contended(),
+		Importance: j.precedence().Importance,
+	}
+	if j.contended() {
+		req.Contended = true
+		req.Waited += j.spentBefore()
 	}
 	req.OutputTokens = outputEstimateOffset + int(outputEstimateFactor*float64(j.req.ExpectedOutputTokens))
 	if j.req.MaxOutputTokens > 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,9 +58,9 @@
 	Settings  Settings
 	// HostID is the prefix that makes reservation ids unique across hosts.
 	HostID string
-	// AdmitAllPrompts turns off admission under contention: long prompts are never refused
-	// since the engines have too much backlog.
-	AdmitAllPrompts bool
+	// MinContendedObjective is the shortest objective of routes whose long prompts are
+	// refused while the engines would begin with them too late; 0 for none.
+	MinContendedObjective time.Duration
 	// Regions holds the region of each failure domain.
 	Regions map[string]string
 }
--- a/internal/standin/fleetmodel/fleetmodel.go
+++ b/internal/standin/fleetmodel/fleetmodel.go
@@ -34,7 +34,8 @@
 	LimitPerSecond float64
 	// Policy is the placement policy; nil for the default one.
 	Policy *placement.Policy
-	// Contention switches on admission under contention.
+	// Contention switches on admission under contention, for workloads with an objective of
+	// minContendedObjective or more.
 	Contention bool
 }
 
@@ -205,6 +206,9 @@
 }
 
 const (
+	// minContendedObjective is the shortest objective of prompts under admission, as in the
+	// relay.
+	minContendedObjective = 4 * time.Second
 	// refusedRetryAfter is when a caller comes back whose predicted wait was too long.
 	refusedRetryAfter = 500 * time.Millisecond
 	// maxRetryAfterFraction is the largest fraction of the time left that callers wait
@@ -222,7 +226,7 @@
 	}
 	r.retried = true
 	sim.after(retryAfter, func() {
-		r.host, r.arrivedAt = sim.random.IntN(sim.Hosts), sim.fleet.Now()
+		r.host = sim.random.IntN(sim.Hosts)
 		sim.arrive(r)
 	})
 }
@@ -306,7 +310,7 @@
 func (sim *simulation) place(r request) (*placement.Placement, []int, error) {
 	req := placement.Request{
 		Service: service, Engine: &sim.Engine, PromptTokens: r.tokens, OutputTokens: r.outputHint,
-		Objective: r.Objective, MaxEventGap: r.MaxEventGap, AbandonAfter: r.AbandonAfter(), Waited: sim.fleet.Now() - r.arrivedAt, Importance: r.Importance, Rank: r.Rank, Contended: sim.Contention,
+		Objective: r.Objective, MaxEventGap: r.MaxEventGap, AbandonAfter: r.AbandonAfter(), Waited: sim.fleet.Now() - r.at, Importance: r.Importance, Contended: sim.Contention && r.Objective >= minContendedObjective,
 	}
 	targets := sim.targets
 	if sim.RandomPlacement {
