--- a/internal/losses/collect.go
+++ b/internal/losses/collect.go
@@ -203,12 +203,12 @@
 }
 
 func (r *record) finishLeft() {
-	r.Fate, r.Cause = Left, CauseNoEvent
+	r.Fate, r.Cause = Left, CauseLeftBefore
 	switch {
 	case r.sends > 1:
 		r.Cause = CauseRetry
 	case r.hasEvents:
-		r.Cause = CauseNoWaiting
+		r.Cause = CauseLeftDuring
 	}
 }
 
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -37,17 +37,17 @@
 
 // The causes that are not reasons of refusals.
 const (
-	CauseBacklog   Cause = "backlog"               // engines had too much to prefill before it, as predicted
-	CauseSlower    Cause = "slower_than_predicted" // it was predicted in time
-	CausePause     Cause = "engine_paused"         // the engine prefilled other prompts between two events
-	CauseRetry     Cause = "retry"                 // an earlier attempt was lost
-	CauseHeld      Cause = "held"                  // it waited at the host for a target that takes requests
-	CauseNoMemory  Cause = "memory_wait"           // it waited at the host for engine memory
-	CauseTarget    Cause = "target_failed"         // the target answered with a failure
-	CauseLink      Cause = "connection_lost"       // the answer broke off, or there was none
-	CauseNoEvent   Cause = "no_first_event"        // the caller left before the first event
-	CauseNoWaiting Cause = "left_during_answer"    // the caller left after the first event
-	CauseUnknown   Cause = "unknown"
+	CauseBacklog    Cause = "backlog"               // engines had too much to prefill before it, as predicted
+	CauseSlower     Cause = "slower_than_predicted" // it was predicted in time
+	CausePause      Cause = "engine_paused"         // the engine prefilled other prompts between two events
+	CauseRetry      Cause = "retry"                 // an earlier attempt was lost
+	CauseHeld       Cause = "held"                  // it waited at the host for a target that takes requests
+	CauseNoMemory   Cause = "memory_wait"           // it waited at the host for engine memory
+	CauseTarget     Cause = "target_failed"         // the target answered with a failure
+	CauseLink       Cause = "connection_lost"       // the answer broke off, or there was none
+	CauseLeftBefore Cause = "no_first_event"        // the caller left before the first event
+	CauseLeftDuring Cause = "left_during_answer"    // the caller left after the first event
+	CauseUnknown    Cause = "unknown"
 )
 
 // heldRatio is the part of its objective after which a request that was not sent yet counts as
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -78,7 +78,7 @@
 		g.Expect(sum).To(Equal(len(requests)), name)
 	}
 	lost := 0
-	for _, c := range report.Causes {
+	for _, c := range report.Total.Causes {
 		lost += c.Requests
 	}
 	g.Expect(lost).To(Equal(8))
--- a/internal/losses/report.go
+++ b/internal/losses/report.go
@@ -14,7 +14,6 @@
 // Report is what became of a set of requests.
 type Report struct {
 	Total          Group   `json:"total"`
-	Causes         []Count `json:"causes"` // of all losses, most frequent first
 	ByRoute        []Group `json:"by_route"`
 	BySize         []Group `json:"by_size"` // of the prompts of each route
 	ByOrganisation []Group `json:"by_organisation"`
@@ -26,8 +25,8 @@
 type Group struct {
 	Name     string  `json:"name"`
 	Requests int     `json:"requests"`
-	Fates    []Count `json:"fates"` // those that occur, in the order of their constants
-	Causes   []Count `json:"causes"`
+	Fates    []Count `json:"fates"`  // those that occur, in the order of their constants
+	Causes   []Count `json:"causes"` // of the losses, most frequent first
 }
 
 // Count is a number of requests with something in common.
@@ -38,8 +37,7 @@
 
 // NewReport counts requests, which are in the order of their start.
 func NewReport(requests []Request) Report {
-	total := newGroup("all", requests)
-	report := Report{Total: total, Causes: total.Causes}
+	report := Report{Total: newGroup("all", requests)}
 	report.ByRoute = groupBy(requests, func(r *Request) string { return named(r.Route) })
 	report.ByOrganisation = groupBy(requests, func(r *Request) string { return named(r.Organisation) })
 	report.ByDomain = groupBy(requests, func(r *Request) string { return named(r.Domain) })
@@ -134,10 +132,10 @@
 	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(tw, "CAUSE\tREQUESTS\tSHARE OF LOSSES")
 	losses := 0
-	for _, c := range r.Causes {
+	for _, c := range r.Total.Causes {
 		losses += c.Requests
 	}
-	for _, c := range r.Causes {
+	for _, c := range r.Total.Causes {
 		fmt.Fprintf(tw, "%s\t%d\t%.3f\n", c.Name, c.Requests, float64(c.Requests)/float64(losses))
 	}
 	r.writeGroups(tw, "", []Group{r.Total})
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -315,6 +315,7 @@
 	placer    *placement.Placer
 
 	minContendedObjective time.Duration
+	log                   *zap.Logger // nil for none
 }
 
 func newHarness(next func(relay.Call) behaviour) *harness {
@@ -355,9 +356,12 @@
 // start creates the relay of a harness that has a view.
 func (w *harness) start(transport relay.Transport, f relay.Forwarder, regionOf map[string]string) {
 	w.budget, w.placer = &fakeRetryBudget{left: 100}, placement.NewPlacer(time.Now, 1)
+	if w.log == nil {
+		w.log = zap.NewNop()
+	}
 	w.relay = relay.New(relay.Config{
 		Views: w.views, Placer: w.placer, Transport: transport, RetryBudget: w.budget, Forwarder: f,
-		Observer: noopObserver{}, Peers: noopObserver{}, Log: zap.NewNop(), HostID: "host", Regions: regionOf,
+		Observer: noopObserver{}, Peers: noopObserver{}, Log: w.log, HostID: "host", Regions: regionOf,
 		MinContendedObjective: w.minContendedObjective,
 		Settings:              relay.Settings{MaxViewAge: 4 * time.Second, ReservationLease: reservationLease, MaxIdleReservation: maxIdleReservation * 4 / 5},
 	})
