Placement: prompts that wait for their prefill count as the streams that they will be

Cause: the cost of a choice counted the delay of streams that decode, and of first events, but not what prefill that is queued behind a prompt does to its answer: once prefilled, it decodes beside that prefill.

Change: a queued prompt that decodes here has the budget between two events as well, from the prefill that is queued behind it (Policy.QueuedStreams, so the ablation can switch it off).

Ruled out: memory, slots and late orders as the cause of these pauses.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -270,6 +270,9 @@
 	for _, b := range snap.prefilling {
 		sum += b.costOfDelay(before, before+prefillTime)
 	}
+	for _, q := range snap.queued {
+		sum += q.budget.costOfDelay(snap.passTime+q.behind, snap.passTime+q.behind+prefillTime)
+	}
 	extra := max(0, snap.backlog+prefillTime-blockingBacklog) - max(0, snap.backlog-blockingBacklog)
 	return sum + extra.Seconds()*c.shortRatePerEngine*c.blockedFraction
 }
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -22,6 +22,7 @@
 	streams     int             // requests past their first event
 	decoding    []latencyBudget // of streams, until their next event
 	prefilling  []latencyBudget // of prompts, until their objective
+	queued      []queuedStream  // prompts that will decode here once they are prefilled
 	running     int             // requests that hold a slot (prefilled) or are admitted before late ones
 	queuedLate  int             // late requests without a slot, admitted in order after all others
 	helperParts int             // parts of other engines' prompts, not yet prefilled
@@ -36,6 +37,12 @@
 	takesLate bool
 }
 
+// queuedStream is a prompt that will decode on an engine once it is prefilled.
+type queuedStream struct {
+	budget latencyBudget // between two events of its answer
+	behind time.Duration // prefill queued behind it, which delays these events
+}
+
 // latencyBudget is the time within which a request needs its next event.
 type latencyBudget struct {
 	weight         float64
@@ -94,6 +101,9 @@
 			snap.decoding = append(snap.decoding, t.decodeBudget())
 		case !t.Prefilled:
 			snap.prefilling = append(snap.prefilling, t.prefillBudget(now))
+			if s.Decodes && policy.QueuedStreams {
+				snap.queued = append(snap.queued, queuedStream{budget: t.decodeBudget(), behind: max(0, l.prefillDoneAt.Sub(j.prefillDone))})
+			}
 		}
 	}
 	if snap.streams > 0 {
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -12,6 +12,9 @@
 	PrefillPool bool
 	// Interference counts what a choice costs the streams and prompts that it delays.
 	Interference bool
+	// QueuedStreams counts what a choice costs prompts once they are prefilled and decode beside
+	// the prefill that is queued behind them.
+	QueuedStreams bool
 	// LateLast has engines admit prompts that will be late after the others.
 	LateLast bool
 	// RandomChoice draws one of the best engines for a short prompt, so that hosts that don't
@@ -47,6 +50,7 @@
 		{"split-prefill", func(p *Policy) *bool { return &p.SplitPrefill }},
 		{"prefill-pool", func(p *Policy) *bool { return &p.PrefillPool }},
 		{"interference", func(p *Policy) *bool { return &p.Interference }},
+		{"queued-streams", func(p *Policy) *bool { return &p.QueuedStreams }},
 		{"late-last", func(p *Policy) *bool { return &p.LateLast }},
 		{"random-choice", func(p *Policy) *bool { return &p.RandomChoice }},
 		{"overdue-backlog", func(p *Policy) *bool { return &p.OverdueBacklog }},
