--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -11,8 +11,6 @@
 	rateTimeConstant = 2 * time.Second
 	// maxShortPrefill is the prefill time up to which a prompt counts as short.
 	maxShortPrefill = 120 * time.Millisecond
-	// maxCountedPrefill limits what one prompt adds to the demand for prefill.
-	maxCountedPrefill = 4 * time.Second
 )
 
 // rate estimates an amount per second as an exponentially decaying sum.
@@ -40,6 +38,6 @@
 	case prefillTime <= maxShortPrefill:
 		d.shortPrompts.add(1, now)
 	default:
-		d.longPrefill.add(min(prefillTime, maxCountedPrefill).Seconds(), now)
+		d.longPrefill.add(prefillTime.Seconds(), now)
 	}
 }
