Admission: returning callers are recognised, and a prompt is refused by what it costs and earns

Prompts were refused in a fleet whose mean backlog was 0.06 s, since the cheapest choice used an engine with 1.3 s or more.

Who has come back: hosts tell each other of refused prompts (key of virtual host, URI, caller and body), so any host knows the time since the first try; bounded, each refusal recognised once, hosts that join learn of them, a prompt outlives the host that refused it. What a refusal promises: room, if the prompt can be in time behind all backlog and all promises; its work counts for new prompts until 0.3 s after it is due. When a prompt is refused: if engines of the best choice begin too late, the best choice of those that don't is taken, unless it costs other requests more than the prompt earns (a late answer half); the same holds for a caller with a promise. Whether a prompt is late in any case follows from the most engines that can share it. Applies to objectives of any length, for prompts of over 0.45 s of prefill on one engine.

TestAdmissionLeavesShorterObjectivesAlone held for a threshold of the objective that is gone; in its place short prompts are left alone, as strictly. Tests of admission use prompts that are large enough to be refused.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -20,7 +20,7 @@
 
 type edgeCommand struct {
 	Config                string        `long:"config" env:"PLANTAINRUN_CONFIG" description:"path of the platform's settings file"`
-	MinContendedObjective time.Duration `long:"min-contended-objective" env:"PLANTAINRUN_MIN_CONTENDED_OBJECTIVE" default:"4s" description:"shortest objective of routes whose long prompts are refused while the engines would begin with them too late; 0 for none"`
+	MinContendedObjective time.Duration `long:"min-contended-objective" env:"PLANTAINRUN_MIN_CONTENDED_OBJECTIVE" default:"1ms" description:"shortest objective of routes whose long prompts are refused while the engines would begin with them too late; 0 for none"`
 	streams               Streams
 }
 
--- a/internal/peers/accept.go
+++ b/internal/peers/accept.go
@@ -116,8 +116,8 @@
 }
 
 // registerInbound makes a connection the current one of its peer. A connection
-// that carries the peer's jobs starts with all jobs in progress, so the jobs known
-// from before are dropped.
+// that carries the peer's jobs starts with all jobs in progress and all prompts that the peer
+// has refused, so those known from before are dropped.
 func (s *Service) registerInbound(hello *peerspb.News) *inbound {
 	in := &inbound{host: hello.GetFrom().GetId(), jobs: hello.GetJobs(), relay: hello.GetPassOn()}
 	s.mu.Lock()
@@ -128,6 +128,7 @@
 	s.mu.Unlock()
 	if in.jobs {
 		s.cfg.Placer.ForgetHost(in.host)
+		s.cfg.Placer.ForgetRefusedPrompts(in.host)
 	}
 	s.cfg.Log.Info("peer heard", zap.String("peer", in.host))
 	return in
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -90,3 +90,23 @@
 		Period: time.Duration(pb.GetPeriodMs()) * time.Millisecond,
 	}
 }
+
+func encodeRefusedPrompt(p placement.RefusedPrompt) *peerspb.RefusedPrompt {
+	return &peerspb.RefusedPrompt{
+		Id: p.ID, Key: uint64(p.Key), Service: p.Service, WaitedMs: uint32(p.Waited.Milliseconds()), WaitMs: int32(p.Wait.Milliseconds()),
+		ExpiresMs: uint32(p.Expires.Milliseconds()), WorkMs: uint32(p.Work.Milliseconds()), Promised: p.Promised,
+	}
+}
+
+func decodeRefusedPrompt(pb *peerspb.RefusedPrompt) placement.RefusedPrompt {
+	return placement.RefusedPrompt{
+		ID:       pb.GetId(),
+		Key:      placement.PromptKey(pb.GetKey()),
+		Service:  pb.GetService(),
+		Waited:   time.Duration(pb.GetWaitedMs()) * time.Millisecond,
+		Wait:     time.Duration(pb.GetWaitMs()) * time.Millisecond,
+		Expires:  time.Duration(pb.GetExpiresMs()) * time.Millisecond,
+		Work:     time.Duration(pb.GetWorkMs()) * time.Millisecond,
+		Promised: pb.GetPromised(),
+	}
+}
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -220,7 +220,7 @@
 }
 
 // hello returns the first message of a connection, with all known hosts and, if the
-// link carries jobs, all jobs in progress, known rate limits and what is in quarantine.
+// link carries jobs, all jobs in progress, prompts it has refused, known rate limits and what is in quarantine.
 // Within the failure domain it also holds the jobs that this host relays.
 func (l *link) hello() *peerspb.News {
 	s := l.service
@@ -232,6 +232,9 @@
 		for _, limit := range s.cfg.Placer.RateLimits() {
 			n.RateLimits = append(n.RateLimits, encodeRateLimit(limit))
 		}
+		for _, p := range s.cfg.Placer.RefusedPrompts("") {
+			n.RefusedPrompts = append(n.RefusedPrompts, encodeRefusedPrompt(p))
+		}
 		for _, c := range s.quarantine.QuarantinedCrashes() {
 			n.Crashes = append(n.Crashes, encodeCrash(c))
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -256,6 +256,18 @@
 	s.broadcast(func(n *peerspb.News) { n.ColdTargets = append(n.ColdTargets, pb) })
 }
 
+// PromptRefused tells peers of a prompt that this host has refused.
+func (s *Service) PromptRefused(p placement.RefusedPrompt) {
+	pb := encodeRefusedPrompt(p)
+	s.broadcast(func(n *peerspb.News) { n.RefusedPrompts = append(n.RefusedPrompts, pb) })
+}
+
+// PromptReturned tells peers that the caller of a refused prompt has come back.
+func (s *Service) PromptReturned(service string, key placement.PromptKey) {
+	pb := &peerspb.ReturnedPrompt{Service: service, Key: uint64(key)}
+	s.broadcast(func(n *peerspb.News) { n.ReturnedPrompts = append(n.ReturnedPrompts, pb) })
+}
+
 // Crashed tells peers that a request broke off at a target.
 func (s *Service) Crashed(c quarantine.Crash) {
 	pb := encodeCrash(c)
@@ -330,6 +342,12 @@
 	for _, c := range n.GetColdTargets() {
 		s.cfg.Placer.RecordPeerSuspectedCold(host, c.GetService(), catalog.TargetKey{ID: c.GetTarget(), StartUnixMilli: c.GetBorn()})
 	}
+	for _, p := range n.GetRefusedPrompts() {
+		s.cfg.Placer.RecordPeerRefused(host, decodeRefusedPrompt(p))
+	}
+	for _, p := range n.GetReturnedPrompts() {
+		s.cfg.Placer.RecordPeerReturned(p.GetService(), placement.PromptKey(p.GetKey()))
+	}
 	for _, c := range n.GetCrashes() {
 		s.quarantine.RecordPeerCrash(decodeCrash(c))
 	}
--- a/internal/peers/relayed.go
+++ b/internal/peers/relayed.go
@@ -25,14 +25,15 @@
 // newRelayed returns the message that relays a host's update, or nil if the update
 // reports nothing to relay and is not the first one of a connection.
 func newRelayed(origin string, n *peerspb.News, first bool) *peerspb.Relayed {
-	updates := len(n.GetStarted()) + len(n.GetRead()) + len(n.GetEnded()) + len(n.GetCrashes()) + len(n.GetRateLimits()) + len(n.GetAnswers()) + len(n.GetQuarantinedParts()) + len(n.GetColdTargets())
+	updates := len(n.GetStarted()) + len(n.GetRead()) + len(n.GetEnded()) + len(n.GetCrashes()) + len(n.GetRateLimits()) + len(n.GetAnswers()) + len(n.GetQuarantinedParts()) + len(n.GetColdTargets()) +
+		len(n.GetRefusedPrompts()) + len(n.GetReturnedPrompts())
 	if updates == 0 && !first {
 		return nil
 	}
 	return &peerspb.Relayed{Origin: origin, First: first, News: &peerspb.News{
 		Started: n.GetStarted(), Read: n.GetRead(), Ended: n.GetEnded(), Crashes: n.GetCrashes(),
 		RateLimits: n.GetRateLimits(), Answers: n.GetAnswers(), QuarantinedParts: n.GetQuarantinedParts(),
-		ColdTargets: n.GetColdTargets(),
+		ColdTargets: n.GetColdTargets(), RefusedPrompts: n.GetRefusedPrompts(), ReturnedPrompts: n.GetReturnedPrompts(),
 	}}
 }
 
@@ -59,6 +60,9 @@
 	if r.GetFirst() || r.GetLost() {
 		s.cfg.Placer.ForgetHost(origin)
 	}
+	if r.GetFirst() {
+		s.cfg.Placer.ForgetRefusedPrompts(origin)
+	}
 	s.applyJobs(origin, r.GetNews())
 }
 
@@ -79,7 +83,7 @@
 }
 
 // relaySnapshot returns, for the first message of a connection within the failure
-// domain, the jobs in progress of all origins that this host relays.
+// domain, the jobs in progress and the refused prompts of all origins that this host relays.
 func (s *Service) relaySnapshot() []*peerspb.Relayed {
 	s.mu.Lock()
 	origins := make([]string, 0, len(s.relaying))
@@ -93,6 +97,9 @@
 		for _, job := range s.cfg.Placer.RemoteJobs(origin) {
 			r.News.Started = append(r.News.Started, encodeJob(job))
 		}
+		for _, p := range s.cfg.Placer.RefusedPrompts(origin) {
+			r.News.RefusedPrompts = append(r.News.RefusedPrompts, encodeRefusedPrompt(p))
+		}
 		out = append(out, r)
 	}
 	return out
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -19,6 +21,9 @@
 	// maxLateBacklogRatio is the same for a prompt that is late in any case: it takes only
 	// room that others leave.
 	maxLateBacklogRatio = 0.15
+	// maxAdmittedPrefill is the prefill time on one engine up to which a prompt is always
+	// admitted: it blocks the engine for short prompts for a few times as long as they can wait.
+	maxAdmittedPrefill = 3 * blockingBacklog
 	// minReturnRatio and maxReturnRatio bound the time after which a refused caller comes
 	// back, as a fraction of the objective: late enough to find less backlog, early enough to
 	// be in time.
@@ -34,6 +39,8 @@
 	Backlog    time.Duration // predicted, until engines begin with the prompt
 	Limit      time.Duration
 	RetryAfter time.Duration
+	// Promised means that the caller is admitted if it comes back when told.
+	Promised bool
 }
 
 // Error returns the backlog and when to try again.
@@ -41,22 +48,90 @@
 	return fmt.Sprintf("engines begin in %s, later than %s: try again in %s", e.Backlog, e.Limit, e.RetryAfter)
 }
 
-// admit returns a *BacklogError if a long prompt with the given choice of engines has to be
-// refused, or nil.
-func (c *chooser) admit(best *choice) error {
-	if !c.policy.Admission || !c.req.Contended || c.singleEngine() {
-		return nil
+// admit returns the choice with which a prompt is admitted, given the one with the lowest
+// cost. A caller who comes back as promised is admitted unless its prompt costs other requests
+// more than it earns. For others the engines have to begin soon: if those of the best choice
+// don't, others may, and such a choice is taken on the same condition. The error is a
+// *BacklogError.
+func (c *chooser) admit(best *choice) (*choice, error) {
+	if !c.policy.Admission || !c.req.Contended || !c.blocksEngines() || c.req.Promised && c.pays(best) {
+		return best, nil
+	}
+	limit := c.backlogLimit(best)
+	backlog := best.wait - best.prefillTime
+	if backlog <= limit {
+		return best, nil
 	}
+	if early := c.bestWithin(limit); early != nil && c.pays(early) {
+		return early, nil
+	}
+	refusal := &BacklogError{Backlog: backlog, Limit: limit, RetryAfter: returnDelay(c.req.Objective, backlog-limit, c.random)}
+	refusal.Promised = c.hasRoomFor(refusal.RetryAfter)
+	return nil, refusal
+}
+
+// blocksEngines reports whether the prompt has so much prefill that refusing it relieves the
+// engines.
+func (c *chooser) blocksEngines() bool {
+	return !c.singleEngine() && c.engine.PrefillTime(c.req.PromptTokens) > maxAdmittedPrefill
+}
+
+// backlogLimit returns the longest wait for engines to begin with a prompt for which it is
+// admitted. Prompts that are promised to others come before it.
+func (c *chooser) backlogLimit(ch *choice) time.Duration {
 	ratio := maxBacklogRatio
-	if c.late(best.prefillTime) {
+	if c.late(c.shortestPrefill()) {
 		ratio = maxLateBacklogRatio
 	}
-	limit := time.Duration(ratio * float64(c.req.Objective))
-	backlog := best.wait - best.prefillTime
-	if backlog <= limit {
+	return time.Duration(ratio*float64(c.req.Objective)) - c.promised(ch.wait)
+}
+
+// shortestPrefill returns the prefill time of the prompt over as many engines as can share it.
+func (c *chooser) shortestPrefill() time.Duration {
+	counts := c.feasiblePartCounts(len(c.engines))
+	return partPrefillTime(c.engine, c.req.PromptTokens, counts[len(counts)-1])
+}
+
+// pays reports whether a prompt earns at least what a choice costs other requests. A late
+// answer counts half.
+func (c *chooser) pays(ch *choice) bool {
+	earns := c.weight * (1 - lateProbability(c.req.Waited+ch.wait, c.req.Objective)/2)
+	return ch.interference <= earns
+}
+
+// bestWithin returns the choice with the lowest cost whose engines are predicted to begin
+// within a limit, or nil if there is none.
+func (c *chooser) bestWithin(limit time.Duration) *choice {
+	engines := make([]*engineSnapshot, 0, len(c.engines))
+	for _, snap := range c.engines {
+		if snap.timeToFirstEvent(c.engine, 0) <= limit {
+			engines = append(engines, snap)
+		}
+	}
+	if len(engines) < minParts(c.req) || !slices.ContainsFunc(engines, func(s *engineSnapshot) bool { return !s.onlyHelps }) {
+		return nil
+	}
+	best := c.best(engines)
+	if best.wait-best.prefillTime > limit {
 		return nil
 	}
-	return &BacklogError{Backlog: backlog, Limit: limit, RetryAfter: returnDelay(c.req.Objective, backlog-limit, c.random)}
+	return best
+}
+
+// hasRoomFor reports whether a prompt is expected to be in time if its caller comes back after
+// a delay, behind all that the engines have to do and all that is promised.
+func (c *chooser) hasRoomFor(delay time.Duration) bool {
+	work := c.refused.promisedWork(math.MaxInt64, c.now)
+	for _, snap := range c.engines {
+		work += snap.backlog
+	}
+	return !c.late(max(work/time.Duration(len(c.engines)), delay) + c.shortestPrefill())
+}
+
+// promised returns the prefill per engine of promised prompts whose callers are expected to
+// come back before a prompt with the given wait is prefilled.
+func (c *chooser) promised(wait time.Duration) time.Duration {
+	return c.refused.promisedWork(wait, c.now) / time.Duration(len(c.engines))
 }
 
 // returnDelay returns when a refused caller should come back: when the backlog is expected
--- a/internal/placement/admission_test.go
+++ b/internal/placement/admission_test.go
@@ -13,6 +13,9 @@
 	"github.com/plantainrun/plantainrun/internal/standin/fleetmodel"
 )
 
+// longPromptTokens is the size of a prompt that alone causes a backlog.
+const longPromptTokens = 120_000
+
 // contentionSeeds is the number of seeds over which results are added up.
 const contentionSeeds = 2
 
@@ -93,11 +96,14 @@
 	g.Expect(mean(returning, served)).To(BeNumerically(">", mean(leaving, served)))
 }
 
-// Without a workload of a long objective, admission under contention changes no decision.
-func TestAdmissionLeavesShorterObjectivesAlone(t *testing.T) {
+// Prompts of which none alone keeps an engine busy for as long as it may wait are never
+// refused: admission under contention changes no decision, however many there are.
+func TestAdmissionLeavesShortPromptsAlone(t *testing.T) {
 	g := NewWithT(t)
+	smallQuestion, smallReview := question.Scaled(1.5), review.Scaled(8)
+	smallQuestion.MaxPromptTokens, smallReview.MaxPromptTokens = 15_000, 50_000
 	s := fleetmodel.Scenario{
-		Engine: engineSpec, Workloads: []fleetmodel.Workload{question, review, handbook.Scaled(2.8)}, Hosts: 6, Engines: 23,
+		Engine: engineSpec, Workloads: []fleetmodel.Workload{smallQuestion, smallReview}, Hosts: 6, Engines: 23,
 		Duration: 15 * time.Second, PropagationDelay: 3 * time.Millisecond, ImpatientCallers: true,
 	}
 	without := fleetmodel.Play(s, 4)
@@ -112,7 +118,7 @@
 	const objective = 4 * time.Second
 	place := func(placer *placement.Placer, waited time.Duration) error {
 		_, err := placer.Place(placement.Request{
-			Service: "llm", Engine: &engineSpec, PromptTokens: 60_000, OutputTokens: 200, Objective: objective, Waited: waited, Contended: true,
+			Service: "llm", Engine: &engineSpec, PromptTokens: longPromptTokens, OutputTokens: 200, Objective: objective, Waited: waited, Contended: true,
 		}, engineTargets(2))
 		return err
 	}
@@ -152,10 +158,38 @@
 	}
 	seen := make(map[time.Duration]bool)
 	for range 50 {
-		_, err := placer.Place(placement.Request{Service: "llm", Engine: &engineSpec, PromptTokens: 60_000, Objective: 4 * time.Second, Contended: true}, engineTargets(2))
+		_, err := placer.Place(placement.Request{Service: "llm", Engine: &engineSpec, PromptTokens: longPromptTokens, Objective: 4 * time.Second, Contended: true}, engineTargets(2))
 		var backlogged *placement.BacklogError
 		g.Expect(errors.As(err, &backlogged)).To(BeTrue())
 		seen[backlogged.RetryAfter.Round(50*time.Millisecond)] = true
 	}
 	g.Expect(len(seen)).To(BeNumerically(">=", 10))
 }
+
+// Nothing changes abruptly with the objective of a kind: a load with an objective that is a
+// little shorter or longer is served alike, and admission costs callers of none of them
+// anything.
+func TestAdmissionIsSmoothInTheObjective(t *testing.T) {
+	const step, tolerance = 100 * time.Millisecond, 0.05
+	for _, objective := range []time.Duration{2500 * time.Millisecond, 4 * time.Second} {
+		t.Run(objective.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			worth := func(objective time.Duration, contention bool) float64 {
+				load := fleetmodel.Loads()["alternating"]
+				load.Contention = contention
+				for i := range load.Workloads {
+					if load.Workloads[i].Name == "long" {
+						load.Workloads[i].Objective = objective
+					}
+				}
+				return fleetmodel.Play(load, 1).Worth()
+			}
+			without, at := worth(objective, false), worth(objective, true)
+			shorter, longer := worth(objective-step, true), worth(objective+step, true)
+			t.Logf("without %.3f, with %.3f, a little shorter %.3f, longer %.3f", without, at, shorter, longer)
+			g.Expect(at).To(BeNumerically(">", without-tolerance/2))
+			g.Expect(shorter).To(BeNumerically("~", at, tolerance))
+			g.Expect(longer).To(BeNumerically("~", at, tolerance))
+		})
+	}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -77,7 +77,9 @@
 	prefillTime time.Duration     // of each engine's part
 	wait        time.Duration     // predicted, until the first event
 	penalty     time.Duration     // extra wait that recent failures of the engines count for
-	cost        float64           // expected weight of late requests, plus penalties
+	// interference is the cost to other requests, penalties included, and cost adds that of
+	// the wait; both in units of weight.
+	interference, cost float64
 }
 
 // choosePrompt chooses the engines for a prompt: it compares the best choice for
@@ -86,13 +88,8 @@
 func (p *Placement) choosePrompt(req *Request, candidates, helpers []*targetLoad, s *shard, now time.Time) ([]Share, error) {
 	c := newChooser(req, candidates, helpers, s, p.placer.policy, now)
 	c.unseenPrompts = s.demand.shortPrompts.perSecond(now) * time.Duration(p.placer.propagationDelay.Load()).Seconds()
-	var best *choice
-	for _, parts := range c.feasiblePartCounts() {
-		if ch := c.choose(parts); best == nil || ch.cost < best.cost {
-			best = ch
-		}
-	}
-	if err := c.admit(best); err != nil {
+	best, err := c.admit(c.best(c.engines))
+	if err != nil {
 		return nil, err
 	}
 	p.Primary, p.PredictedWait = best.engines[0].load.target, best.wait
@@ -123,10 +120,12 @@
 	unseenPrompts      float64 // expected short prompts that peers have placed and this host has not learned of yet
 	policy             Policy
 	random             *rand.Rand
+	refused            *refusedPrompts
+	now                time.Time
 }
 
 func newChooser(req *Request, candidates, helpers []*targetLoad, s *shard, policy Policy, now time.Time) *chooser {
-	c := &chooser{req: req, engine: req.Engine, weight: req.weight(), policy: policy, random: s.random}
+	c := &chooser{req: req, engine: req.Engine, weight: req.weight(), policy: policy, random: s.random, refused: &s.refused, now: now}
 	blocked := 0
 	for i, l := range slices.Concat(candidates, helpers) {
 		snap := newEngineSnapshot(l, req.Engine, policy, now)
@@ -145,34 +144,45 @@
 	return c
 }
 
+// best returns the choice with the lowest cost among engines, or nil if they are too few.
+func (c *chooser) best(engines []*engineSnapshot) *choice {
+	var best *choice
+	for _, parts := range c.feasiblePartCounts(len(engines)) {
+		if ch := c.choose(parts, engines); best == nil || ch.cost < best.cost {
+			best = ch
+		}
+	}
+	return best
+}
+
 // feasiblePartCounts returns the numbers of parts to evaluate: those with enough
 // memory for the prompt and no more than the available engines.
-func (c *chooser) feasiblePartCounts() []int {
+func (c *chooser) feasiblePartCounts(available int) []int {
 	if c.singleEngine() {
 		return []int{1}
 	}
 	minCount := minParts(c.req)
 	if !c.policy.SplitPrefill {
-		return []int{min(minCount, len(c.engines))}
+		return []int{min(minCount, available)}
 	}
 	var out []int
 	for _, n := range consideredPartCounts {
-		if n >= minCount && n <= len(c.engines) {
+		if n >= minCount && n <= available {
 			out = append(out, n)
 		}
 	}
 	if len(out) == 0 {
-		out = []int{min(minCount, len(c.engines))}
+		out = []int{min(minCount, available)}
 	}
 	return out
 }
 
-// choose returns the choice of the cheapest engines for a number of parts.
-func (c *chooser) choose(parts int) *choice {
+// choose returns the choice of the cheapest of the engines for a number of parts.
+func (c *chooser) choose(parts int, engines []*engineSnapshot) *choice {
 	prefillTime := partPrefillTime(c.engine, c.req.PromptTokens, parts)
-	ranked := make([]engineCost, 0, len(c.engines))
+	ranked := make([]engineCost, 0, len(engines))
 	reserved := reservation(c.req, parts)
-	for _, snap := range c.engines {
+	for _, snap := range engines {
 		if snap.onlyHelps && parts == 1 {
 			continue
 		}
@@ -197,13 +207,13 @@
 		ch.engines = append(ch.engines, r.snap)
 		ch.wait = max(ch.wait, r.wait)
 		ch.penalty = max(ch.penalty, r.snap.penalty)
-		ch.cost += r.interference
+		ch.interference += r.interference
 	}
 	if !c.singleEngine() {
 		ch.wait += c.slotWait(ch.engines[0], ch.wait)
-		ch.cost += c.decodeCost(ch.engines[0], parts)
+		ch.interference += c.decodeCost(ch.engines[0], parts)
 	}
-	ch.cost += c.latenessCost(ch.wait + ch.penalty)
+	ch.cost = ch.interference + c.latenessCost(ch.wait+ch.penalty)
 	return ch
 }
 
--- a/internal/placement/job.go
+++ b/internal/placement/job.go
@@ -38,6 +38,10 @@
 	// TargetSuspectedCold reports a target that does not answer this host, or does so again,
 	// so that it may have restarted.
 	TargetSuspectedCold(service string, target catalog.TargetKey)
+	// PromptRefused reports a prompt that this host has refused for its backlog.
+	PromptRefused(RefusedPrompt)
+	// PromptReturned reports that the caller of a refused prompt has come back.
+	PromptReturned(service string, key PromptKey)
 }
 
 // noopObserver is the default observer.
@@ -49,6 +53,9 @@
 
 func (noopObserver) TargetSuspectedCold(string, catalog.TargetKey) {}
 
+func (noopObserver) PromptRefused(RefusedPrompt)      {}
+func (noopObserver) PromptReturned(string, PromptKey) {}
+
 // trackedJob is a job that counts towards the load of its targets.
 type trackedJob struct {
 	Job
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -32,6 +32,12 @@
 	Importance float64
 	// Contended means that the prompt is subject to admission under contention.
 	Contended bool
+	// Key identifies the prompt when its caller comes back after a refusal; 0 for none.
+	Key PromptKey
+	// Promised means that the caller was refused before, and told to come back now.
+	Promised bool
+	// Patience is how long the caller still waits for an answer, refusals included.
+	Patience time.Duration
 	// ColdRate is the number of requests per second that a cold target of the service accepts
 	// from all hosts together, 0 for no limit; ColdPeriod is how long a target is cold after
 	// a start.
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -48,6 +49,7 @@
 	reachability reachability
 	random       *rand.Rand
 	lastProbe    map[string]time.Time // by failure domain: when a request last probed it while unreachable
+	refused      refusedPrompts
 }
 
 // NewPlacer returns a Placer without jobs. It reads the time from now and seeds
@@ -145,6 +147,10 @@
 	} else {
 		shares, err = p.choosePrompt(&req, s.sampleCandidates(candidates), s.sampleCandidates(helpers), s, now)
 	}
+	var backlogged *BacklogError
+	if errors.As(err, &backlogged) {
+		pl.recordRefused(s, &req, backlogged, now)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/contention.go
+++ b/internal/relay/contention.go
@@ -1,18 +1,12 @@
 package relay
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/placement"
 )
 
-// minSpent is the least time that a caller must have spent before this attempt for the
-// attempt to count as its return after a refusal.
-const minSpent = 300 * time.Millisecond
-
 // contended reports whether the request is subject to admission under contention. Its
 // objective must leave room for the return of a refused caller; a request that may have run,
 // or of which the caller has a part, is not refused any more.
@@ -21,14 +15,13 @@
 	return shortest > 0 && j.route.Kind == catalog.Streaming && j.route.Objective >= shortest && j.possibleExecutions == 0 && !j.callerHasEvents()
 }
 
-// spentBefore returns how long the caller has waited before this attempt, as after a
-// refusal: what is missing of the route's timeout.
-func (j *job) spentBefore() time.Duration {
-	spent := j.route.Timeout - j.req.Timeout
-	if j.req.Timeout == 0 || spent < minSpent {
-		return 0
+// recogniseReturn finds out once whether the caller comes back after a refusal.
+func (j *job) recogniseReturn() {
+	if j.promptKey != 0 {
+		return
 	}
-	return spent
+	j.promptKey = placement.PromptKey(j.fingerprint())
+	j.earlier = j.relay.cfg.Placer.RecogniseReturn(j.serviceName, j.promptKey)
 }
 
 // precedence returns how the request relates to others that compete for the same targets.
@@ -46,7 +39,7 @@
 	j.relay.cfg.Observer.Backlogged(e.Backlog)
 	j.retryAfter = e.RetryAfter
 	j.log("placement rejected, engines would begin too late", zap.Duration("backlog", e.Backlog), zap.Duration("limit", e.Limit),
-		zap.Duration("retry_after", e.RetryAfter), zap.Int("prompt_tokens", j.req.PromptTokens), zap.Duration("spent_before", j.spentBefore()),
+		zap.Duration("retry_after", e.RetryAfter), zap.Int("prompt_tokens", j.req.PromptTokens), zap.Duration("waited_before", j.earlier.Waited), zap.Bool("returned", j.earlier.Returned), zap.Bool("promised", e.Promised),
 		zap.Duration("objective", j.route.Objective), zap.Duration("view_age", j.relay.cfg.Views.Age()))
 	return resultRejected, ReasonBacklogged
 }
--- a/internal/relay/contention_test.go
+++ b/internal/relay/contention_test.go
@@ -28,14 +28,11 @@
 	w := &harness{views: newStaticView(source), transport: &fakeTransport{behaviourOf: always(behaviour{status: http.StatusOK, events: 2})}}
 	w.minContendedObjective = minObjective
 	w.start(w.transport, nil, nil)
-	for i, target := range w.views.View().Targets("llm") {
-		w.placer.RemoteStarted("peer", placement.Job{ID: placement.JobID(i), Service: "llm", Weight: 1, Objective: time.Second,
-			Shares: []placement.Share{{Target: target.TargetKey, PrefillTime: backlog, Decodes: true}}})
-	}
+	w.keepBusy("peer", backlog)
 	return w
 }
 
-var study = relay.Request{ID: "r", URI: "/patient/1", PromptTokens: 60_000, Timeout: studyTimeout}
+var study = relay.Request{ID: "r", URI: "/patient/1", PromptTokens: 150_000, Timeout: studyTimeout}
 
 func TestLongPromptIsRefusedAtOnceUnderContention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -66,16 +63,50 @@
 	}
 }
 
-// A caller who comes back has spent part of its objective, which its timeout tells. Such a
-// prompt takes less of a backlog than one that can still be in time.
+// keepBusy has other hosts keep the engines busy for a time from now on.
+func (w *harness) keepBusy(peer string, backlog time.Duration) {
+	for i, target := range w.views.View().Targets("llm") {
+		w.placer.RemoteStarted(peer, placement.Job{ID: placement.JobID(i), Service: "llm", Weight: 1, Objective: time.Second,
+			Shares: []placement.Share{{Target: target.TargetKey, PrefillTime: backlog, Decodes: true}}})
+	}
+}
+
+// A caller who comes back has spent part of its objective, which the host knows from the
+// refusal. Such a prompt takes less of a backlog than one that can still be in time.
 func TestReturningCallerIsLateByWhatItHasSpent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		const backlog = 900 * time.Millisecond
-		g.Expect(contendedHarness(studyObjective, backlog).serve(context.Background(), study).refusal).To(BeNil())
-		late := study
-		late.Timeout -= studyObjective
-		g.Expect(contendedHarness(studyObjective, backlog).serve(context.Background(), late).refusal.Reason).To(Equal(relay.ReasonBacklogged))
+		w := contendedHarness(studyObjective, 2*studyObjective)
+		g.Expect(w.serve(context.Background(), study).refusal.Reason).To(Equal(relay.ReasonBacklogged))
+		w.placer.ForgetHost("peer")
+		time.Sleep(studyObjective)
+		w.keepBusy("peer", 900*time.Millisecond)
+		again := study
+		again.ID = "another id"
+		g.Expect(w.serve(context.Background(), again).refusal.Reason).To(Equal(relay.ReasonBacklogged))
+		newcomer := study
+		newcomer.URI = "/patient/2"
+		g.Expect(w.serve(context.Background(), newcomer).refusal).To(BeNil())
+	})
+}
+
+// A caller who was promised room and comes back when told is admitted, although the engines
+// are as busy as before; a new one is not.
+func TestCallerWithAPromiseIsAdmittedOnItsReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const backlog = 1500 * time.Millisecond
+		w := contendedHarness(studyObjective, backlog)
+		refusal := w.serve(context.Background(), study).refusal
+		g.Expect(refusal.Reason).To(Equal(relay.ReasonBacklogged))
+		time.Sleep(refusal.RetryAfter)
+		w.keepBusy("another peer", backlog)
+		newcomer := study
+		newcomer.URI = "/patient/2"
+		g.Expect(w.serve(context.Background(), newcomer).refusal.Reason).To(Equal(relay.ReasonBacklogged))
+		again := study
+		again.ID = "another id"
+		g.Expect(w.serve(context.Background(), again).refusal).To(BeNil())
 	})
 }
 
@@ -111,10 +142,7 @@
 			if !first {
 				return behaviour{status: http.StatusOK, events: 4}
 			}
-			for i, target := range w.views.View().Targets("llm") {
-				w.placer.RemoteStarted("another peer", placement.Job{ID: placement.JobID(i), Service: "llm", Weight: 1, Objective: time.Second,
-					Shares: []placement.Share{{Target: target.TargetKey, PrefillTime: 3 * time.Second, Decodes: true}}})
-			}
+			w.keepBusy("another peer", 3*time.Second)
 			return behaviour{status: http.StatusOK, events: 4, breakAfter: 2}
 		}
 		r := w.serve(context.Background(), study)
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -244,6 +244,14 @@
 	h.broadcast(func(peer *fleetHost) { peer.placer.RemoteEnded(h.id, id) })
 }
 
+func (h *fleetHost) PromptRefused(p placement.RefusedPrompt) {
+	h.broadcast(func(peer *fleetHost) { peer.placer.RecordPeerRefused(h.id, p) })
+}
+
+func (h *fleetHost) PromptReturned(service string, key placement.PromptKey) {
+	h.broadcast(func(peer *fleetHost) { peer.placer.RecordPeerReturned(service, key) })
+}
+
 func (h *fleetHost) TargetSuspectedCold(service string, target catalog.TargetKey) {
 	h.broadcast(func(peer *fleetHost) { peer.placer.RecordPeerSuspectedCold(h.id, service, target) })
 }
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -41,15 +41,17 @@
 	authenticated bool
 	deadline      time.Time
 
-	attempts           int       // all attempts, including those not executed
-	possibleArrivals   int       // attempts that may have reached a target
-	possibleExecutions int       // attempts that the target may have executed
-	triedTargets       []string  // ids of targets that placement excludes
-	unsentTargets      []string  // ids of those to which the request could not be sent
-	attemptStarted     time.Time // of the latest attempt at a target of this host's choice
-	noHostTakesIt      bool      // no other host could take the request
-	refusal            *Refusal  // by the host to which the request was forwarded
-	reserveFailed      bool      // the memory of a placement could not be reserved
+	attempts           int                 // all attempts, including those not executed
+	possibleArrivals   int                 // attempts that may have reached a target
+	possibleExecutions int                 // attempts that the target may have executed
+	triedTargets       []string            // ids of targets that placement excludes
+	unsentTargets      []string            // ids of those to which the request could not be sent
+	attemptStarted     time.Time           // of the latest attempt at a target of this host's choice
+	noHostTakesIt      bool                // no other host could take the request
+	refusal            *Refusal            // by the host to which the request was forwarded
+	reserveFailed      bool                // the memory of a placement could not be reserved
+	promptKey          placement.PromptKey // of a prompt under admission; 0 before its first placement
+	earlier            placement.Return    // what is known of an earlier refusal
 	// reserveCalls counts the calls of reserve. It is part of the reservation
 	// id, so that a delayed release cannot end a newer reservation.
 	reserveCalls    int
@@ -222,7 +224,10 @@
 	}
 	if j.contended() {
 		req.Contended = true
-		req.Waited += j.spentBefore()
+		j.recogniseReturn()
+		req.Waited += j.earlier.Waited
+		req.Key, req.Promised = j.promptKey, j.earlier.Promised
+		req.Patience = j.remaining()
 	}
 	req.OutputTokens = outputEstimateOffset + int(outputEstimateFactor*float64(j.req.ExpectedOutputTokens))
 	if j.req.MaxOutputTokens > 0 {
--- a/internal/standin/fleetmodel/fleetmodel.go
+++ b/internal/standin/fleetmodel/fleetmodel.go
@@ -34,8 +34,7 @@
 	LimitPerSecond float64
 	// Policy is the placement policy; nil for the default one.
 	Policy *placement.Policy
-	// Contention switches on admission under contention, for workloads with an objective of
-	// minContendedObjective or more.
+	// Contention switches on admission under contention.
 	Contention bool
 }
 
@@ -94,10 +93,21 @@
 // TargetSuspectedCold implements placement.JobObserver.
 func (r jobReporter) TargetSuspectedCold(string, catalog.TargetKey) {}
 
+// PromptRefused implements placement.JobObserver.
+func (r jobReporter) PromptRefused(p placement.RefusedPrompt) {
+	r.broadcast(func(pl *placement.Placer, host string) { pl.RecordPeerRefused(host, p) })
+}
+
+// PromptReturned implements placement.JobObserver.
+func (r jobReporter) PromptReturned(service string, key placement.PromptKey) {
+	r.broadcast(func(pl *placement.Placer, _ string) { pl.RecordPeerReturned(service, key) })
+}
+
 // Play runs a scenario.
 func Play(s Scenario, seed uint64) Result {
 	sim := newSimulation(s, seed)
 	result := make(Result)
+	keys := placement.PromptKey(0)
 	for i := range s.Workloads {
 		wl := &sim.Workloads[i]
 		if result[wl.Name] == nil {
@@ -105,6 +115,8 @@
 		}
 		for _, r := range wl.arrivals(&s, sim.random) {
 			r.stats = result[wl.Name]
+			keys++
+			r.key = keys
 			r.stats.Requests++
 			sim.at(r.at, func() { sim.arrive(r) })
 		}
@@ -186,29 +198,28 @@
 	var backlogged *placement.BacklogError
 	switch {
 	case errors.As(err, &backlogged):
-		sim.refuse(r, backlogged.RetryAfter)
+		promised := r.promised
+		r.promised = backlogged.Promised
+		sim.refuse(r, backlogged.RetryAfter, promised)
 		return
 	case errors.As(err, &limited) && sim.fleet.Now()+limited.RetryAfter <= r.at+r.Objective:
 		sim.after(limited.RetryAfter, func() { sim.arrive(r) })
 		return
 	case errors.As(err, &limited):
-		sim.refuse(r, limited.RetryAfter)
+		sim.refuse(r, limited.RetryAfter, r.promised)
 		return
 	case err != nil:
 		panic(err) // there are always targets
 	}
 	if sim.ImpatientCallers && float64(placed.PredictedWait) > maxWaitRatio*float64(r.AbandonAfter()) {
 		placed.End(placement.Abandoned)
-		sim.refuse(r, refusedRetryAfter)
+		sim.refuse(r, refusedRetryAfter, r.promised)
 		return
 	}
 	sim.serve(r, placed, engines)
 }
 
 const (
-	// minContendedObjective is the shortest objective of prompts under admission, as in the
-	// relay.
-	minContendedObjective = 4 * time.Second
 	// refusedRetryAfter is when a caller comes back whose predicted wait was too long.
 	refusedRetryAfter = 500 * time.Millisecond
 	// maxRetryAfterFraction is the largest fraction of the time left that callers wait
@@ -216,17 +227,29 @@
 	maxRetryAfterFraction = 3
 )
 
-// refuse ends a request, whose caller comes back once if it has a timeout.
-func (sim *simulation) refuse(r request, retryAfter time.Duration) {
+// refuse ends a request, whose caller comes back once if it has a timeout. promised tells
+// whether the caller had been promised room when it was refused before.
+func (sim *simulation) refuse(r request, retryAfter time.Duration, promised bool) {
 	left := r.Timeout - (sim.fleet.Now() - r.at)
+	if r.retried {
+		r.stats.RefusedAgain++
+		if promised {
+			r.stats.PromisesBroken++
+		}
+	}
 	if r.retried || r.Timeout == 0 || retryAfter > left/maxRetryAfterFraction {
 		r.stats.Refused++
 		r.end(0, notLate, false)
 		return
 	}
 	r.retried = true
+	r.stats.Returned++
+	if r.promised {
+		r.stats.Promised++
+	}
 	sim.after(retryAfter, func() {
 		r.host = sim.random.IntN(sim.Hosts)
+		r.arrived = sim.fleet.Now()
 		sim.arrive(r)
 	})
 }
@@ -310,7 +333,12 @@
 func (sim *simulation) place(r request) (*placement.Placement, []int, error) {
 	req := placement.Request{
 		Service: service, Engine: &sim.Engine, PromptTokens: r.tokens, OutputTokens: r.outputHint,
-		Objective: r.Objective, MaxEventGap: r.MaxEventGap, AbandonAfter: r.AbandonAfter(), Waited: sim.fleet.Now() - r.at, Importance: r.Importance, Contended: sim.Contention && r.Objective >= minContendedObjective,
+		Objective: r.Objective, MaxEventGap: r.MaxEventGap, AbandonAfter: r.AbandonAfter(), Importance: r.Importance, Contended: sim.Contention,
+		Waited: sim.fleet.Now() - r.arrived, Key: r.key, Patience: r.Timeout - (sim.fleet.Now() - r.at),
+	}
+	if req.Contended {
+		earlier := sim.placers[r.host].RecogniseReturn(service, r.key)
+		req.Waited, req.Promised = req.Waited+earlier.Waited, earlier.Promised
 	}
 	targets := sim.targets
 	if sim.RandomPlacement {
--- a/internal/standin/fleetmodel/loads.go
+++ b/internal/standin/fleetmodel/loads.go
@@ -40,6 +40,15 @@
 	}
 }
 
+// busyKinds are kinds like largeKinds at higher rates, that swing less.
+func busyKinds() kinds {
+	k := largeKinds()
+	wave := Wave{Swing: 0.2, Period: 11 * time.Second, Phase: 0.38}
+	k.short.PerSecond, k.medium.PerSecond, k.long.PerSecond = 99.8, 15.9, 2.7
+	k.short.Wave, k.medium.Wave, k.long.Wave = wave, wave, wave
+	return k
+}
+
 // rankedKinds are kinds whose routes have different priorities, the short ones the highest.
 func rankedKinds() kinds {
 	wave := Wave{Swing: 0.2, Period: 11 * time.Second, Phase: 0.2}
@@ -71,8 +80,8 @@
 	return phase{start: at(start), end: at(end), short: short, medium: medium, long: long}
 }
 
-// inPhases returns the workloads at their ordinary rates, but for the phases.
-func (k kinds) inPhases(duration time.Duration, phases ...phase) []Workload {
+// inPhases returns the workloads of a load at their ordinary rates, but for the phases.
+func (k kinds) inPhases(phases ...phase) []Workload {
 	var out []Workload
 	add := func(start, end time.Duration, p phase) {
 		if start < end {
@@ -85,23 +94,28 @@
 		add(p.start, p.end, p)
 		at = p.end
 	}
-	add(at, duration, phase{short: 1, medium: 1, long: 1})
+	add(at, loadDuration, phase{short: 1, medium: 1, long: 1})
 	return out
 }
 
+// loadDuration is the duration of each load.
+const loadDuration = 36 * time.Second
+
 // Loads returns scenarios in which callers compete for too little room, by name: the kinds
 // of request swap their shares within moments, so that either the prefill of long prompts
 // or the slots for short ones are short.
 func Loads() map[string]Scenario {
-	const duration = 36 * time.Second
-	fleet := Scenario{Engine: largeEngine, Hosts: 76, Engines: 45, Duration: duration, PropagationDelay: 20 * time.Millisecond, ImpatientCallers: true}
+	fleet := Scenario{Engine: largeEngine, Hosts: 76, Engines: 45, Duration: loadDuration, PropagationDelay: 20 * time.Millisecond, ImpatientCallers: true}
 	longThenShort, shortThenLong, uneven := fleet, fleet, fleet
-	longThenShort.Workloads = largeKinds().inPhases(duration,
+	longThenShort.Workloads = largeKinds().inPhases(
 		phaseBetween(2.4, 11.9, 0.34, 1.3, 2.7), phaseBetween(13, 22.5, 2.4, 0.5, 0.05), phaseBetween(23, 32.5, 0.39, 1.3, 2.6))
-	shortThenLong.Workloads = largeKinds().inPhases(duration,
+	shortThenLong.Workloads = largeKinds().inPhases(
 		phaseBetween(2.4, 11.9, 2.4, 0.5, 0.05), phaseBetween(13, 22.5, 0.35, 1.3, 2.7), phaseBetween(23, 32.5, 2.4, 0.5, 0.05))
 	uneven.Engine, uneven.Hosts, uneven.Engines = smallEngine, 71, 60
-	uneven.Workloads = rankedKinds().inPhases(duration,
+	uneven.Workloads = rankedKinds().inPhases(
 		phaseBetween(3.3, 9.7, 1, 1, 2.3), phaseBetween(12, 15.8, 1.6, 1, 1), phaseBetween(20, 29.5, 0.34, 1.3, 2.8))
-	return map[string]Scenario{"long-then-short": longThenShort, "short-then-long": shortThenLong, "uneven-kinds": uneven}
+	alternating := Scenario{Engine: largeEngine, Hosts: 62, Engines: 78, Duration: loadDuration, PropagationDelay: 20 * time.Millisecond, ImpatientCallers: true}
+	alternating.Workloads = busyKinds().inPhases(
+		phaseBetween(2.2, 11.7, 0.37, 1.3, 2.7), phaseBetween(12, 21.5, 2.5, 0.5, 0.05), phaseBetween(23, 32.5, 0.37, 1.3, 2.7))
+	return map[string]Scenario{"long-then-short": longThenShort, "short-then-long": shortThenLong, "uneven-kinds": uneven, "alternating": alternating}
 }
--- a/internal/standin/fleetmodel/stats.go
+++ b/internal/standin/fleetmodel/stats.go
@@ -15,7 +15,12 @@
 	Served           int // whole answers, in time or late
 	// Refused counts callers that were refused and did not come back, or were refused again;
 	// Left those that left since no event came.
-	Refused, Left   int
+	Refused, Left int
+	// Returned counts callers that were refused and came back, Promised those among them that
+	// had been promised room. RefusedAgain counts those that were refused a second time, and
+	// PromisesBroken those among them that had been promised room.
+	Returned, Promised, RefusedAgain, PromisesBroken int
+
 	FirstEventTimes []time.Duration
 
 	outcomes []outcome
--- a/internal/standin/fleetmodel/workload.go
+++ b/internal/standin/fleetmodel/workload.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
+	"github.com/plantainrun/plantainrun/internal/placement"
 )
 
 // Workload is a kind of request with its arrival rate, size distributions and objectives.
@@ -76,7 +77,10 @@
 	outputHint int // expected output tokens
 	host       int
 	at         time.Duration // first arrival
-	retried    bool          // the caller was refused and has come back
+	arrived    time.Duration // latest arrival, after a refusal
+	key        placement.PromptKey
+	retried    bool // the caller was refused and has come back
+	promised   bool // it was promised room
 	stats      *Stats
 }
 
@@ -100,7 +104,7 @@
 		if wl.Wave.Period > 0 && random.Float64()*peak > wl.PerSecond*wl.Wave.factor(at) {
 			continue
 		}
-		r := request{Workload: wl, at: at, tokens: int(drawLogNormal(random, wl.MeanPromptTokens, wl.PromptSigma, wl.MaxPromptTokens)), host: random.IntN(s.Hosts)}
+		r := request{Workload: wl, at: at, tokens: int(drawLogNormal(random, wl.MeanPromptTokens, wl.PromptSigma, wl.MaxPromptTokens)), host: random.IntN(s.Hosts), arrived: at}
 		r.events = int(drawLogNormal(random, wl.MeanEvents, wl.EventsSigma, 2.5*wl.MeanEvents)) + 1
 		r.outputHint = int(float64(r.events*s.Engine.StepsPerPass) * math.Exp(outputHintSigma*random.NormFloat64()))
 		out = append(out, r)
