--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -13,7 +13,7 @@
 // BenchmarkPlace measures the CPU time of one placement with eight jobs on each
 // engine.
 func BenchmarkPlace(b *testing.B) {
-	for _, engines := range []int{23, 78, 500} {
+	for _, engines := range []int{23, 78, 195, 295, 500} {
 		for _, wl := range []fleetmodel.Workload{question, handbook} {
 			b.Run(fmt.Sprint(wl.Name, "/engines-", engines), func(b *testing.B) {
 				placer := placement.NewPlacer(time.Now, 1)
