--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -39,7 +39,7 @@
 	Backlog    time.Duration // predicted, until engines begin with the prompt
 	Limit      time.Duration
 	RetryAfter time.Duration
-	// Promised means that the caller is admitted if it comes back when told.
+	// Promised means that hosts keep room for the prompt until its caller should come back.
 	Promised bool
 }
 
@@ -49,9 +49,9 @@
 }
 
 // admit returns the choice with which a prompt is admitted, given the one with the lowest
-// cost. A caller who comes back as promised is admitted unless its prompt costs other requests
-// more than it earns. For others the engines have to begin soon: if those of the best choice
-// don't, others may, and such a choice is taken on the same condition. The error is a
+// cost. Engines have to begin with the prompt soon: if those of the best choice don't, others
+// may, and such a choice is taken unless it costs other requests more than the prompt earns. A
+// caller who was promised room is admitted on that condition alone. The error is a
 // *BacklogError.
 func (c *chooser) admit(best *choice) (*choice, error) {
 	if !c.policy.Admission || !c.req.Contended || !c.blocksEngines() || c.req.Promised && c.pays(best) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -34,7 +34,7 @@
 	Contended bool
 	// Key identifies the prompt when its caller comes back after a refusal; 0 for none.
 	Key PromptKey
-	// Promised means that the caller was refused before, and told to come back now.
+	// Promised means that the caller was refused before, and promised room for its return.
 	Promised bool
 	// Patience is how long the caller still waits for an answer, refusals included.
 	Patience time.Duration
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -30,7 +30,7 @@
 	Wait    time.Duration // until the caller should come back; negative if that time has passed
 	Expires time.Duration // until the caller has given up
 	Work    time.Duration // predicted prefill, added up over the engines
-	// Promised means that the caller is admitted if it comes back when told.
+	// Promised means that hosts keep room for the prompt until its caller should come back.
 	Promised bool
 }
 
--- a/internal/relay/contention.go
+++ b/internal/relay/contention.go
@@ -7,9 +7,9 @@
 	"github.com/plantainrun/plantainrun/internal/placement"
 )
 
-// contended reports whether the request is subject to admission under contention. Its
-// objective must leave room for the return of a refused caller; a request that may have run,
-// or of which the caller has a part, is not refused any more.
+// contended reports whether the request is subject to admission under contention, as settings
+// and route have it. A request that may have run, or of which the caller has a part, is not
+// refused any more.
 func (j *job) contended() bool {
 	shortest := j.relay.cfg.MinContendedObjective
 	return shortest > 0 && j.route.Kind == catalog.Streaming && j.route.Objective >= shortest && j.possibleExecutions == 0 && !j.callerHasEvents()
