Cold targets: a reported target is dark until it answers some host, and cold after that

Cause of the known red test (300 hosts, dark engine that stays registered): a suspicion held for the period of a start from the second report on. Reports came 4.6 and 6.1 s after the start, the engine came back at 8 s, so the suspicion ended about when the engine was cold; and hosts that were cut off at 6 s had heard of the first report only, which alone was not believed. Traced by logging all reports of a failing run.

Change: one report counts until the target answers any host; if that takes over a second it was dark, and counts as cold for its period from then on; if not, the links of the reporter have failed. Hosts tell each other of first events anyway, so no message is new.

Only services that publish a rate for cold targets decide otherwise.

--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -12,6 +12,12 @@
 	// coldReportWindow is how recently another target of the service must have answered for
 	// a host to report one that does not: otherwise its own links may have failed.
 	coldReportWindow = time.Second
+	// minDarkTime is the shortest time without a sign of life since a report after which a
+	// target was dark. One that answers less often than that is not held back by the limit.
+	minDarkTime = time.Second
+	// maxDarkReportAge is how long after the last report a target counts as dark without a sign
+	// of life: hosts that meet it report it again.
+	maxDarkReportAge = 10 * time.Second
 )
 
 // coldLimits are a service's published figures of cold targets: those that have just
@@ -27,6 +33,9 @@
 	limits coldLimits
 	// suspectedUntil is until when the target may be cold.
 	suspectedUntil time.Time
+	// darkSince is when a host reported it, if it has answered no host since then as far as
+	// this host knows; zero if it has.
+	darkSince time.Time
 	reportedAt     time.Time // when this host last reported it
 	// reporter is the last other host that reported it, at reporterAt.
 	reporter   string
@@ -41,7 +50,19 @@
 
 // cold reports whether the target is cold or may be.
 func (l *targetLoad) cold(now time.Time) bool {
-	return now.Before(l.target.ColdUntil) || now.Before(l.coldState.suspectedUntil) || l.unreachableAt.After(l.answeredAt)
+	c := &l.coldState
+	dark := !c.darkSince.IsZero() && now.Sub(c.reporterAt) <= maxDarkReportAge
+	return dark || now.Before(l.target.ColdUntil) || now.Before(c.suspectedUntil) || l.unreachableAt.After(l.answeredAt)
+}
+
+// recordSignOfLife records that a target answers some host. If it has not for a while since a
+// host reported it, it may be cold from now on; else the links of that host have failed.
+func (l *targetLoad) recordSignOfLife(now time.Time) {
+	c := &l.coldState
+	if !c.darkSince.IsZero() && now.Sub(c.darkSince) > minDarkTime {
+		c.suspectedUntil = later(c.suspectedUntil, now.Add(c.limits.period))
+	}
+	c.darkSince = time.Time{}
 }
 
 // recordAnswer records that the target has answered. After it was unreachable, it may be
@@ -51,6 +72,7 @@
 		l.coldState.suspectedUntil = now.Add(l.coldState.limits.period)
 	}
 	l.answeredAt = now
+	l.recordSignOfLife(now)
 }
 
 // reportCold tells the observer of a target that this host suspects to be cold. The caller
@@ -68,7 +90,7 @@
 }
 
 // RecordPeerSuspectedCold records that a peer suspects a target to be cold. One host alone
-// is not believed, since its links may have failed.
+// is believed only until the target answers any host, since its own links may have failed.
 func (pl *Placer) RecordPeerSuspectedCold(peer, service string, target catalog.TargetKey) {
 	now := pl.now()
 	s := pl.shard(service)
@@ -78,6 +100,9 @@
 	if c.reporter != "" && c.reporter != peer && now.Sub(c.reporterAt) < s.coldPeriod {
 		c.suspectedUntil = later(c.suspectedUntil, now.Add(s.coldPeriod))
 	}
+	if c.darkSince.IsZero() {
+		c.darkSince = now
+	}
 	c.reporter, c.reporterAt = peer, now
 }
 
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -258,6 +258,7 @@
 			continue
 		}
 		l.lastPrefillAt = now
+		l.recordSignOfLife(now)
 		l.capBacklog(now)
 		if !share.Decodes {
 			l.remove(t)
