--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -35,8 +35,8 @@
 	suspectedUntil time.Time
 	// darkSince is when a host reported it, if it has answered no host since then as far as
 	// this host knows; zero if it has.
-	darkSince time.Time
-	reportedAt     time.Time // when this host last reported it
+	darkSince  time.Time
+	reportedAt time.Time // when this host last reported it
 	// reporter is the last other host that reported it, at reporterAt.
 	reporter   string
 	reporterAt time.Time
