Admission: a refusal says what the prompt is short of

The logs could not tell a prompt that no engine would begin with in time from one whose room is kept for callers refused before, and from one that costs others more than it earns. A refused prompt is now logged with short_of, the promised prefill for each engine, cost and earnings, and the number of engines compared; logs losses counts the three apart. No decision changes.

--- a/internal/losses/collect.go
+++ b/internal/losses/collect.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
 	"slices"
@@ -34,6 +35,7 @@
 	late      *lateAnswer
 	sends     int
 	hasEvents bool
+	shortage  Cause // if admission refused it
 }
 
 // NewCollector returns a Collector without requests.
@@ -60,6 +62,7 @@
 	SentAfter     float64   `json:"sent_after"`
 	PredictedWait float64   `json:"predicted_wait"`
 	MemoryWait    bool      `json:"waited_for_memory"`
+	ShortOf       string    `json:"short_of"`
 }
 
 // The messages of the log lines that are read.
@@ -74,11 +77,12 @@
 	msgLeft         = "caller left"
 	msgAborted      = "stream aborted"
 	msgFailureRelay = "relaying failed response"
+	msgNotAdmitted  = "placement rejected, engines would begin too late"
 	outcomeDone     = "done"
 )
 
 var messages = []string{
-	msgStarted, msgForeign, msgAttempt, msgFirstEvent, msgAttemptEnded, msgAnswerLate, msgRefused, msgLeft, msgAborted, msgFailureRelay,
+	msgStarted, msgForeign, msgAttempt, msgFirstEvent, msgAttemptEnded, msgAnswerLate, msgRefused, msgLeft, msgAborted, msgFailureRelay, msgNotAdmitted,
 }
 
 // Read adds the lines of a log. source is the host of lines that have no prefix.
@@ -140,6 +144,8 @@
 		if l.Outcome == outcomeDone {
 			r.finishServed()
 		}
+	case msgNotAdmitted:
+		r.shortage = shortages[l.ShortOf]
 	case msgRefused:
 		r.finishRefused(l.Reason)
 	case msgLeft:
@@ -195,7 +201,7 @@
 	case reason == "timeout" || reason == "lost":
 		r.Fate, r.Cause = Broken, CauseLink
 	default:
-		r.Fate, r.Cause = Refused, Cause(reason)
+		r.Fate, r.Cause = Refused, cmp.Or(r.shortage, Cause(reason))
 	}
 	if r.Cause == "" && r.Fate == Refused {
 		r.Cause = CauseUnknown
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -48,8 +48,16 @@
 	CauseLeftBefore Cause = "no_first_event"        // the caller left before the first event
 	CauseLeftDuring Cause = "left_during_answer"    // the caller left after the first event
 	CauseUnknown    Cause = "unknown"
+
+	// Refusals by admission under contention, by what was missing.
+	CauseShortOfEngines  Cause = "short_of_engines"  // none would begin in time
+	CauseShortByPromises Cause = "short_by_promises" // the room is kept for callers refused before
+	CauseShortOfPayoff   Cause = "short_of_payoff"   // it would cost others more than it earns
 )
 
+// shortages are the causes by the name in the logs of what was missing.
+var shortages = map[string]Cause{"engines": CauseShortOfEngines, "promises": CauseShortByPromises, "payoff": CauseShortOfPayoff}
+
 // heldRatio is the part of its objective after which a request that was not sent yet counts as
 // held at the host.
 const heldRatio = 0.25
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -34,6 +34,8 @@
 {"ts":"2026-01-07T02:18:42.1Z","msg":"answer late","request":"k","route":"chat","sends":1,"first_event":900,"objective":300,"sent_after":500,"waited_for_memory":true}
 {"ts":"2026-01-07T02:18:42.1Z","msg":"attempt ended","request":"k","route":"chat","outcome":"done","sends":1}
 {"ts":"2026-01-07T02:18:42.2Z","msg":"attempt","request":"l","route":"chat","sends":1}
+{"ts":"2026-01-07T02:18:42.1Z","msg":"placement rejected, engines would begin too late","request":"m","route":"chat","short_of":"promises","prompt_tokens":90000}
+{"ts":"2026-01-07T02:18:42.1Z","msg":"request refused","request":"m","route":"chat","reason":"backlogged","prompt_tokens":90000}
 not a line
 `,
 	"host-b": `  40.2 host-b {"ts":"2026-01-07T02:18:41.0Z","msg":"request of another host","request":"f"}
@@ -57,7 +59,7 @@
 	}
 	g.Expect(got).To(Equal(map[string]string{
 		"a": "in time", "b": "late backlog", "c": "late slower_than_predicted", "d": "paused engine_paused", "e": "late retry", "f": "in time",
-		"g": "refused backlogged", "h": "denied", "i": "left no_first_event", "j": "broken connection_lost", "k": "late memory_wait", "l": "unfinished",
+		"g": "refused backlogged", "h": "denied", "i": "left no_first_event", "j": "broken connection_lost", "k": "late memory_wait", "l": "unfinished", "m": "refused short_by_promises",
 	}))
 }
 
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -33,12 +33,33 @@
 	returnSpreadRatio = 0.2
 )
 
+// Shortage is what is missing for a prompt that is not admitted.
+type Shortage string
+
+const (
+	// ShortOfEngines means that engines would begin with the prompt too late, whatever is
+	// promised.
+	ShortOfEngines Shortage = "engines"
+	// ShortByPromises means that engines would begin in time, if no room were kept for
+	// callers who were refused before.
+	ShortByPromises Shortage = "promises"
+	// ShortOfPayoff means that engines would begin in time, at a higher cost to other requests
+	// than the prompt earns.
+	ShortOfPayoff Shortage = "payoff"
+)
+
 // BacklogError means that a long prompt is not admitted since the engines would not begin
 // with it soon enough.
 type BacklogError struct {
 	Backlog    time.Duration // predicted, until engines begin with the prompt
-	Limit      time.Duration
+	Limit      time.Duration // after Reserved is taken off
+	Reserved   time.Duration // prefill for each engine that is promised to others
 	RetryAfter time.Duration
+	Shortage   Shortage
+	// Cost is what the best choice that begins in time costs other requests, or the best one if
+	// there is none, and Earned what the prompt earns by it, both in units of weight.
+	Cost, Earned float64
+	Compared     int // engines that were compared
 	// Promised means that hosts keep room for the prompt until its caller should come back.
 	Promised bool
 }
@@ -62,14 +83,32 @@
 	if backlog <= limit {
 		return best, nil
 	}
-	if early := c.bestWithin(limit); early != nil && c.pays(early) {
+	early := c.bestWithin(limit)
+	if early != nil && c.pays(early) {
 		return early, nil
 	}
 	refusal := &BacklogError{Backlog: backlog, Limit: limit, RetryAfter: returnDelay(c.req.Objective, backlog-limit, c.random)}
 	refusal.Promised = c.hasRoomFor(refusal.RetryAfter)
+	c.explainRefusal(refusal, best, early)
 	return nil, refusal
 }
 
+// explainRefusal records what a prompt is short of, given the best choice and the best one
+// within the limit, if there is one.
+func (c *chooser) explainRefusal(refusal *BacklogError, best, early *choice) {
+	refusal.Compared = len(c.engines)
+	refusal.Reserved = c.promised(best.wait)
+	refusal.Shortage = ShortOfEngines
+	rejected := best
+	switch {
+	case early != nil:
+		refusal.Shortage, rejected = ShortOfPayoff, early
+	case refusal.Backlog <= refusal.Limit+refusal.Reserved || c.bestWithin(refusal.Limit+refusal.Reserved) != nil:
+		refusal.Shortage = ShortByPromises
+	}
+	refusal.Cost, refusal.Earned = rejected.interference, c.earned(rejected)
+}
+
 // blocksEngines reports whether the prompt has so much prefill that refusing it relieves the
 // engines.
 func (c *chooser) blocksEngines() bool {
@@ -92,11 +131,13 @@
 	return partPrefillTime(c.engine, c.req.PromptTokens, counts[len(counts)-1])
 }
 
-// pays reports whether a prompt earns at least what a choice costs other requests. A late
-// answer counts half.
-func (c *chooser) pays(ch *choice) bool {
-	earns := c.weight * (1 - lateProbability(c.req.Waited+ch.wait, c.req.Objective)/2)
-	return ch.interference <= earns
+// pays reports whether a prompt earns at least what a choice costs other requests.
+func (c *chooser) pays(ch *choice) bool { return ch.interference <= c.earned(ch) }
+
+// earned returns what a prompt earns by a choice, in units of weight. A late answer counts
+// half.
+func (c *chooser) earned(ch *choice) float64 {
+	return c.weight * (1 - lateProbability(c.req.Waited+ch.wait, c.req.Objective)/2)
 }
 
 // bestWithin returns the choice with the lowest cost whose engines are predicted to begin
--- a/internal/relay/contention.go
+++ b/internal/relay/contention.go
@@ -39,6 +39,7 @@
 	j.relay.cfg.Observer.Backlogged(e.Backlog)
 	j.retryAfter = e.RetryAfter
 	j.log("placement rejected, engines would begin too late", zap.Duration("backlog", e.Backlog), zap.Duration("limit", e.Limit),
+		zap.String("short_of", string(e.Shortage)), zap.Duration("reserved", e.Reserved), zap.Float64("cost", e.Cost), zap.Float64("earned", e.Earned), zap.Int("engines_compared", e.Compared),
 		zap.Duration("retry_after", e.RetryAfter), zap.Int("prompt_tokens", j.req.PromptTokens), zap.Duration("waited_before", j.earlier.Waited), zap.Bool("returned", j.earlier.Returned), zap.Bool("promised", e.Promised),
 		zap.Duration("objective", j.route.Objective), zap.Duration("view_age", j.relay.cfg.Views.Age()))
 	return resultRejected, ReasonBacklogged
