--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -83,7 +83,7 @@
 	for _, c := range report.Total.Causes {
 		lost += c.Requests
 	}
-	g.Expect(lost).To(Equal(8))
+	g.Expect(lost).To(Equal(9))
 	g.Expect(report.ByDomain[0].Name).To(Equal("north"))
 	var text, js bytes.Buffer
 	g.Expect(report.WriteText(&text)).To(Succeed())
--- a/internal/standin/fleetmodel/loads.go
+++ b/internal/standin/fleetmodel/loads.go
@@ -1,6 +1,7 @@
 package fleetmodel
 
 import (
+	"slices"
 	"time"
 
 	"github.com/plantainrun/plantainrun/internal/catalog"
@@ -119,3 +120,40 @@
 		phaseBetween(2.2, 11.7, 0.37, 1.3, 2.7), phaseBetween(12, 21.5, 2.5, 0.5, 0.05), phaseBetween(23, 32.5, 0.37, 1.3, 2.7))
 	return map[string]Scenario{"long-then-short": longThenShort, "short-then-long": shortThenLong, "uneven-kinds": uneven, "alternating": alternating}
 }
+
+// enrolKinds are kinds of equal importance for a number of engines, the long ones with prompts
+// of 190,000 tokens.
+func enrolKinds(engines int) kinds {
+	wave := Wave{Swing: 0.08, Period: 11 * time.Second, Phase: 0.91}
+	n := float64(engines)
+	return kinds{
+		short: Workload{
+			Name: "short", PerSecond: 1.415 * n, MeanPromptTokens: 4960, PromptSigma: 0.9, MaxPromptTokens: 23800, MeanEvents: 22.6, EventsSigma: 0.7,
+			Objective: 400 * time.Millisecond, MaxEventGap: 250 * time.Millisecond, Timeout: 10 * time.Second, Payoff: 1.3, LatePayoff: 0.33, Wave: wave,
+		},
+		medium: Workload{
+			Name: "medium", PerSecond: 0.112 * n, MeanPromptTokens: 45000, PromptSigma: 0.5, MaxPromptTokens: 110000, MeanEvents: 13.6, EventsSigma: 0.6,
+			Objective: 1500 * time.Millisecond, MaxEventGap: 600 * time.Millisecond, Timeout: 10 * time.Second, Payoff: 2.9, LatePayoff: 0.73, Wave: wave,
+		},
+		long: Workload{
+			Name: "long", PerSecond: 0.0533 * n, MeanPromptTokens: 190000, PromptSigma: 0.55, MaxPromptTokens: 600000, MeanEvents: 11.3, EventsSigma: 0.5,
+			Objective: 3 * time.Second, MaxEventGap: time.Second, Timeout: 15 * time.Second, Payoff: 18, LatePayoff: 4.5, Wave: wave,
+		},
+	}
+}
+
+// enrolEngine is an engine with ten slots and events of 68 tokens.
+var enrolEngine = catalog.Engine{
+	Slots: 10, MemoryTokens: 232000, StepTime: 1020 * time.Microsecond, StepTimePerSeq: 2260 * time.Nanosecond,
+	StepTimePerKiloToken: 4310 * time.Nanosecond, PrefillRate: 206000, AttentionTimePerMPairs: 138 * time.Microsecond, StepsPerPass: 68,
+}
+
+// LongPromptBurst returns a scenario of a few seconds in which long prompts come at up to three
+// times their ordinary rate and ask for two thirds of the prefill of all engines.
+func LongPromptBurst(hosts, engines int) Scenario {
+	workloads := enrolKinds(engines).inPhases(phaseBetween(1.8, 8, 0.37, 1.3, 2.7))
+	return Scenario{
+		Engine: enrolEngine, Hosts: hosts, Engines: engines, Duration: 8 * time.Second, PropagationDelay: 20 * time.Millisecond, ImpatientCallers: true,
+		Contention: true, Workloads: slices.DeleteFunc(workloads, func(w Workload) bool { return w.Start >= 8*time.Second }),
+	}
+}
