--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -103,6 +103,9 @@
 	Body       io.ReadCloser
 }
 
+// Refused reports whether the target says that it did not run the request.
+func (r *Response) Refused() bool { return r.NotExecuted || r.Misdirected }
+
 // SendError is the error of an attempt that got no usable response.
 type SendError struct {
 	// MaybeSent means that the request may have reached the target.
