Placement: a sample of the engines is measured as a sample

What callers saw: on 195 engines long prompts of both kinds were refused while engines would have begun with them in time. Cause: a host compares at most 96 engines, and what it knows of the whole service (prefill that is promised to refused callers, short prompts a second, prefill asked for) was set against these as if they were all. Each promise took twice the room that it needs, each second of prefill was charged for twice the short prompts that it delays, and the pool for prefill was planned for twice its work. The class: a figure of the whole is divided by the size of a part. Such figures are now scaled by the part of the eligible engines that is compared.

TestPromisesAreSpreadOverAllEngines failed at 195 and 500 engines before, at none after.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -162,17 +162,18 @@
 // hasRoomFor reports whether a prompt is expected to be in time if its caller comes back after
 // a delay, behind all that the engines have to do and all that is promised.
 func (c *chooser) hasRoomFor(delay time.Duration) bool {
-	work := c.refused.promisedWork(math.MaxInt64, c.now)
+	work := c.promised(math.MaxInt64)
 	for _, snap := range c.engines {
-		work += snap.backlog
+		work += snap.backlog / time.Duration(len(c.engines))
 	}
-	return !c.late(max(work/time.Duration(len(c.engines)), delay) + c.shortestPrefill())
+	return !c.late(max(work, delay) + c.shortestPrefill())
 }
 
-// promised returns the prefill per engine of promised prompts whose callers are expected to
-// come back before a prompt with the given wait is prefilled.
+// promised returns the prefill for each eligible engine of promised prompts whose callers are
+// expected to come back before a prompt with the given wait is prefilled.
 func (c *chooser) promised(wait time.Duration) time.Duration {
-	return c.refused.promisedWork(wait, c.now) / time.Duration(len(c.engines))
+	eligible := float64(len(c.engines)) / c.sampledFraction
+	return time.Duration(float64(c.refused.promisedWork(wait, c.now)) / eligible)
 }
 
 // returnDelay returns when a refused caller should come back: when the backlog is expected
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -87,7 +87,7 @@
 // prefill. The error is a *BacklogError.
 func (p *Placement) choosePrompt(req *Request, candidates, helpers []*targetLoad, s *shard, now time.Time) ([]Share, error) {
 	c := newChooser(req, candidates, helpers, s, p.placer.policy, now)
-	c.unseenPrompts = s.demand.shortPrompts.perSecond(now) * time.Duration(p.placer.propagationDelay.Load()).Seconds()
+	c.unseenPrompts = c.sampledFraction * s.demand.shortPrompts.perSecond(now) * time.Duration(p.placer.propagationDelay.Load()).Seconds()
 	best, err := c.admit(c.best(c.engines))
 	if err != nil {
 		return nil, err
@@ -113,7 +113,8 @@
 type chooser struct {
 	req                *Request
 	engine             *catalog.Engine
-	engines            []*engineSnapshot
+	engines            []*engineSnapshot // a sample of the eligible ones
+	sampledFraction    float64           // of the eligible engines, by which demand for all of them is scaled
 	weight             float64
 	shortRatePerEngine float64 // short prompts per second and engine
 	blockedFraction    float64 // expected fraction of short prompts that meet a blocked engine
@@ -124,8 +125,11 @@
 	now                time.Time
 }
 
+// newChooser returns the chooser for a prompt among a sample of the eligible engines.
 func newChooser(req *Request, candidates, helpers []*targetLoad, s *shard, policy Policy, now time.Time) *chooser {
 	c := &chooser{req: req, engine: req.Engine, weight: req.weight(), policy: policy, random: s.random, refused: &s.refused, now: now}
+	eligible := len(candidates) + len(helpers)
+	candidates, helpers = s.sampleCandidates(candidates), s.sampleCandidates(helpers)
 	blocked := 0
 	for i, l := range slices.Concat(candidates, helpers) {
 		snap := newEngineSnapshot(l, req.Engine, policy, now)
@@ -136,9 +140,11 @@
 		c.engines = append(c.engines, snap)
 	}
 	n := float64(len(c.engines))
-	c.shortRatePerEngine = s.demand.shortPrompts.perSecond(now) / n
+	c.sampledFraction = n / float64(eligible)
+	shortRate := c.sampledFraction * s.demand.shortPrompts.perSecond(now)
+	c.shortRatePerEngine = shortRate / n
 	if policy.PrefillPool {
-		assignRoles(c.engines, c.engine.Slots, s.demand.longPrefill.perSecond(now), s.demand.shortPrompts.perSecond(now))
+		assignRoles(c.engines, c.engine.Slots, c.sampledFraction*s.demand.longPrefill.perSecond(now), shortRate)
 	}
 	c.blockedFraction = minBlockedFraction + float64(blocked)/n
 	return c
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -145,7 +145,7 @@
 	if req.Engine == nil {
 		shares = p.choosePlain(candidates, s.random, now)
 	} else {
-		shares, err = p.choosePrompt(&req, s.sampleCandidates(candidates), s.sampleCandidates(helpers), s, now)
+		shares, err = p.choosePrompt(&req, candidates, helpers, s, now)
 	}
 	var backlogged *BacklogError
 	if errors.As(err, &backlogged) {
--- a/internal/placement/returns_test.go
+++ b/internal/placement/returns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -161,3 +162,22 @@
 		})
 	}
 }
+
+// Guards against measuring what is promised at all engines by the sample of them that a host
+// compares: promises that leave room at each engine hold back no prompt, however many there are.
+func TestPromisesAreSpreadOverAllEngines(t *testing.T) {
+	const promisedPerEngine = time.Second // of the 1.2 s within which engines have to begin
+	for _, engines := range []int{23, 96, 195, 500} {
+		t.Run(fmt.Sprint(engines), func(t *testing.T) {
+			g := NewWithT(t)
+			placer := placement.NewPlacer(newManualClock().Now, 1)
+			for i := range uint64(engines) {
+				placer.RecordPeerRefused("peer", placement.RefusedPrompt{
+					ID: i, Key: placement.PromptKey(i + 10), Service: "llm", Expires: time.Minute, Work: promisedPerEngine, Promised: true,
+				})
+			}
+			_, err := placer.Place(contendedPrompt(1), engineTargets(engines))
+			g.Expect(err).NotTo(HaveOccurred())
+		})
+	}
+}
