Admission: a promise of room is kept

Cause: a prompt was refused when it costs others more than it earns. Prefill grows with the square of the length, earnings with the length, so under contention that price hits the largest ones, at the first try and again when their callers came back as they were told, with room promised. The class: a price that grows faster with size than the worth acts as a ban on a size; and a promise that a later check overrides.

A caller who was promised room is now admitted whatever the price, so each size is refused at most once where there is room; a prompt that cannot be in time after a return is still promised nothing.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -72,10 +72,11 @@
 // admit returns the choice with which a prompt is admitted, given the one with the lowest
 // cost. Engines have to begin with the prompt soon: if those of the best choice don't, others
 // may, and such a choice is taken unless it costs other requests more than the prompt earns. A
-// caller who was promised room is admitted on that condition alone. The error is a
-// *BacklogError.
+// caller who was promised room is always admitted: prefill grows faster with the size of a
+// prompt than what it earns, so by the cost alone the largest ones would be refused again each
+// time. The error is a *BacklogError.
 func (c *chooser) admit(best *choice) (*choice, error) {
-	if !c.policy.Admission || !c.req.Contended || !c.blocksEngines() || c.req.Promised && c.pays(best) {
+	if !c.policy.Admission || !c.req.Contended || !c.blocksEngines() || c.req.Promised {
 		return best, nil
 	}
 	limit := c.backlogLimit(best)
