--- a/internal/standin/fleetmodel/loads.go
+++ b/internal/standin/fleetmodel/loads.go
@@ -121,9 +121,9 @@
 	return map[string]Scenario{"long-then-short": longThenShort, "short-then-long": shortThenLong, "uneven-kinds": uneven, "alternating": alternating}
 }
 
-// enrolKinds are kinds of equal importance for a number of engines, the long ones with prompts
+// steadyKinds are kinds of equal importance for a number of engines, the long ones with prompts
 // of 190,000 tokens.
-func enrolKinds(engines int) kinds {
+func steadyKinds(engines int) kinds {
 	wave := Wave{Swing: 0.08, Period: 11 * time.Second, Phase: 0.91}
 	n := float64(engines)
 	return kinds{
@@ -142,8 +142,8 @@
 	}
 }
 
-// enrolEngine is an engine with ten slots and events of 68 tokens.
-var enrolEngine = catalog.Engine{
+// tenSlotEngine is an engine with ten slots and events of 68 tokens.
+var tenSlotEngine = catalog.Engine{
 	Slots: 10, MemoryTokens: 232000, StepTime: 1020 * time.Microsecond, StepTimePerSeq: 2260 * time.Nanosecond,
 	StepTimePerKiloToken: 4310 * time.Nanosecond, PrefillRate: 206000, AttentionTimePerMPairs: 138 * time.Microsecond, StepsPerPass: 68,
 }
@@ -151,9 +151,9 @@
 // LongPromptBurst returns a scenario of a few seconds in which long prompts come at up to three
 // times their ordinary rate and ask for two thirds of the prefill of all engines.
 func LongPromptBurst(hosts, engines int) Scenario {
-	workloads := enrolKinds(engines).inPhases(phaseBetween(1.8, 8, 0.37, 1.3, 2.7))
+	workloads := steadyKinds(engines).inPhases(phaseBetween(1.8, 8, 0.37, 1.3, 2.7))
 	return Scenario{
-		Engine: enrolEngine, Hosts: hosts, Engines: engines, Duration: 8 * time.Second, PropagationDelay: 20 * time.Millisecond, ImpatientCallers: true,
+		Engine: tenSlotEngine, Hosts: hosts, Engines: engines, Duration: 8 * time.Second, PropagationDelay: 20 * time.Millisecond, ImpatientCallers: true,
 		Contention: true, Workloads: slices.DeleteFunc(workloads, func(w Workload) bool { return w.Start >= 8*time.Second }),
 	}
 }
