Admission: room is promised only where it is near

Cause: a promise is kept whatever it costs others, and was given wherever the prompt could still be in time. Room is now promised while the mean backlog of the engines, with all that is promised, is within 0.45 of the objective: the same for all sizes.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -21,6 +21,10 @@
 	// maxLateBacklogRatio is the same for a prompt that is late in any case: it takes only
 	// room that others leave.
 	maxLateBacklogRatio = 0.15
+	// maxPromisedBacklogRatio is the longest mean backlog of the engines, with all that is
+	// promised, as a fraction of its objective, for which a refused prompt is promised room:
+	// a promise is kept whatever it costs others, so it is given only where room is near.
+	maxPromisedBacklogRatio = 0.45
 	// maxAdmittedPrefill is the prefill time on one engine up to which a prompt is always
 	// admitted: it blocks the engine for short prompts for a few times as long as they can wait.
 	maxAdmittedPrefill = 3 * blockingBacklog
@@ -89,7 +93,7 @@
 		return early, nil
 	}
 	refusal := &BacklogError{Backlog: backlog, Limit: limit, RetryAfter: returnDelay(c.req.Objective, backlog-limit, c.random)}
-	refusal.Promised = c.hasRoomFor(refusal.RetryAfter)
+	refusal.Promised = c.hasRoom()
 	c.explainRefusal(refusal, best, early)
 	return nil, refusal
 }
@@ -160,14 +164,14 @@
 	return best
 }
 
-// hasRoomFor reports whether a prompt is expected to be in time if its caller comes back after
-// a delay, behind all that the engines have to do and all that is promised.
-func (c *chooser) hasRoomFor(delay time.Duration) bool {
-	work := c.promised(math.MaxInt64)
+// hasRoom reports whether all that engines have to do and all that is promised is soon done.
+// The bound is the same for all sizes.
+func (c *chooser) hasRoom() bool {
+	backlog := c.promised(math.MaxInt64)
 	for _, snap := range c.engines {
-		work += snap.backlog / time.Duration(len(c.engines))
+		backlog += snap.backlog / time.Duration(len(c.engines))
 	}
-	return !c.late(max(work, delay) + c.shortestPrefill())
+	return backlog <= time.Duration(maxPromisedBacklogRatio*float64(c.req.Objective))
 }
 
 // promised returns the prefill for each eligible engine of promised prompts whose callers are
