--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -165,8 +165,11 @@
 }
 
 // hasRoom reports whether all that engines have to do and all that is promised is soon done.
-// The bound is the same for all sizes.
+// The bound is the same for all sizes. For a prompt that is late in any case there is none.
 func (c *chooser) hasRoom() bool {
+	if c.late(c.shortestPrefill()) {
+		return false
+	}
 	backlog := c.promised(math.MaxInt64)
 	for _, snap := range c.engines {
 		backlog += snap.backlog / time.Duration(len(c.engines))
