--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -116,14 +116,14 @@
 	req.URL.Path, req.URL.RawQuery, _ = strings.Cut(uri, "?")
 	req.ContentLength = int64(len(body))
 	req.Host = publicHost
-	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(k.deadline.Milliseconds()))
+	req.Header.Set(headerAttemptID, id)
+	req.Header.Set(headerDeadline, fmt.Sprint(k.deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Token "+c.key)
 	if k.stream {
 		prompt, _, _ := strings.Cut(k.tokens, ",")
-		req.Header.Set("X-Model", "m")
-		req.Header.Set("X-Token-Count", k.tokens)
-		req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:40,%s:%s", id, prompt))
+		req.Header.Set(headerModel, "m")
+		req.Header.Set(headerTokenCount, k.tokens)
+		req.Header.Set(headerPromptPrefix, fmt.Sprintf("5c1e07a2:40,%s:%s", id, prompt))
 	}
 	return req, nil
 }
--- a/review/lab/endless.go
+++ b/review/lab/endless.go
@@ -64,8 +64,8 @@
 // returns the number of bytes sent.
 func (f *flood) send(conn net.Conn, w *bufio.Writer, id string) int {
 	defer conn.Close()
-	const format = "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal.%s\r\nContent-Type: text/event-stream\r\n%s"
-	if _, err := fmt.Fprintf(w, format, id, id, f.head); err != nil {
+	const format = "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s\r\nContent-Type: text/event-stream\r\n%s"
+	if _, err := fmt.Fprintf(w, format, headerAttemptID, id, headerSignature, id, f.head); err != nil {
 		return 0
 	}
 	sent := 0
@@ -157,7 +157,7 @@
 			if !w.spoils(req.URL.Path) {
 				return false
 			}
-			id := req.Header.Get("X-Attempt-Id")
+			id := req.Header.Get(headerAttemptID)
 			env.rec.write("faulty runner %s: %s gets an answer without end", r.id, id)
 			conn, buf, err := http.NewResponseController(rw).Hijack()
 			if err != nil {
--- a/review/lab/runner.go
+++ b/review/lab/runner.go
@@ -81,14 +81,14 @@
 }
 
 func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != r.id {
-		w.Header().Set("X-Instance-Id", r.id)
+	if expected := req.Header.Get(headerExpectInstance); expected != "" && expected != r.id {
+		w.Header().Set(headerInstanceID, r.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	switch req.URL.Path {
 	case "/health":
-		w.Header().Set("X-Instance-Id", r.id)
+		w.Header().Set(headerInstanceID, r.id)
 		return
 	case "/report":
 		fmt.Fprintf(w, `{"phase":"colocated","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":0,"queued":0,"running":1,"kv_used":0,"kv_total":232000,"handles":0,"born":%d}`, r.born)
@@ -101,10 +101,10 @@
 }
 
 func (r *runner) serveRequest(w http.ResponseWriter, req *http.Request) {
-	id := req.Header.Get("X-Attempt-Id")
+	id := req.Header.Get(headerAttemptID)
 	if r.refuse.Load() {
-		w.Header().Set("X-Attempt-Id", id)
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(headerAttemptID, id)
+		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -112,13 +112,13 @@
 		return // the host has given up
 	}
 	r.env.runs.add(run{
-		id: id, runner: r.id, method: req.Method, uri: req.RequestURI, tenant: req.Header.Get("X-Tenant"), at: time.Now(), sound: r.fault == nil,
+		id: id, runner: r.id, method: req.Method, uri: req.RequestURI, tenant: req.Header.Get(headerTenant), at: time.Now(), sound: r.fault == nil,
 	})
 	if r.fault != nil && r.fault(w, req) {
 		return
 	}
-	w.Header().Set("X-Attempt-Id", id)
-	w.Header().Set("X-Server-Seal", "seal."+r.id+"."+id)
+	w.Header().Set(headerAttemptID, id)
+	w.Header().Set(headerSignature, "seal."+r.id+"."+id)
 	if r.service == modelService {
 		r.stream(w, req, id)
 		return
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -12,10 +12,7 @@
 )
 
 const (
-	configKey     = "op/config"
-	serversPrefix = "servers/"
-	eraHeader     = "Store-Era"
-	maxWatchWait  = 30 * time.Second
+	maxWatchWait = 30 * time.Second
 )
 
 type storeItem struct {
@@ -139,12 +136,12 @@
 		<-r.Context().Done()
 		return
 	}
-	w.Header().Set(eraHeader, strconv.FormatInt(era, 10))
+	w.Header().Set(headerEra, strconv.FormatInt(era, 10))
 	w.Header().Set("Content-Type", "application/json")
 	switch r.URL.Path {
-	case "/kv-range":
+	case rangePath:
 		s.serveRange(w, r)
-	case "/kv-watch":
+	case watchPath:
 		s.serveWatch(w, r, era)
 	default:
 		w.WriteHeader(http.StatusNotFound)
