--- a/review/lab/endless.go
+++ b/review/lab/endless.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,7 +20,7 @@
 	modelRunners    = 8
 	windowStart     = 8 * time.Second
 	windowLength    = 5500 * time.Millisecond
-	countTime       = 4500 * time.Millisecond // of the window, in which answers are only counted
+	countTime       = 3500 * time.Millisecond // of the window, in which answers are only counted
 	timeAfterWindow = 12 * time.Second
 )
 
@@ -148,6 +150,7 @@
 	if err != nil {
 		return verdict{}, err
 	}
+	var spoilt atomic.Int64
 	from := time.Now().Add(windowStart)
 	for _, r := range models[:faultyRunners] {
 		w := &window{from: from, to: from.Add(windowLength), path: f.path}
@@ -158,6 +161,7 @@
 			if !w.spoils(req.URL.Path) {
 				return false
 			}
+			spoilt.Add(1)
 			id := req.Header.Get(headerAttemptID)
 			env.rec.write("faulty runner %s: %s gets an answer without end", r.id, id)
 			conn, buf, err := http.NewResponseController(rw).Hijack()
@@ -182,16 +186,23 @@
 	for range 8 {
 		l.start(newClient(env, h.front, keyOne), book, bookPath+"seats", 800*time.Millisecond)
 	}
-	for range 12 {
+	for range 16 {
 		l.start(newClient(env, h.front, keyTwo), review, reviewPath+"2f", 50*time.Millisecond)
 	}
 	for range 72 {
 		l.start(newClient(env, h.front, keyTwo), chat, chatPath+"2f", 50*time.Millisecond)
 	}
 	time.Sleep(time.Until(from.Add(windowLength + timeAfterWindow)))
-	return judgeLost(env, h, l.stop()), nil
+	answers := l.stop()
+	if trouble && spoilt.Load() == 0 {
+		return verdict{}, errNotSpoiled
+	}
+	return judgeLost(env, h, answers), nil
 }
 
+// errNotSpoiled means that no answer was due to be spoiled in the window.
+var errNotSpoiled = errors.New("no request came to a faulty runner at the time at which an answer was to be spoiled")
+
 // judgeLost counts the requests on kept channels that a sound runner has run and whose channel
 // was closed without an answer.
 func judgeLost(env *environment, h *host, answers []answer) verdict {
