--- a/review/lab2/host.go
+++ b/review/lab2/host.go
@@ -31,6 +31,15 @@
 // startHosts starts hosts that are each other's seeds, one in each of the zones, and waits
 // until they are ready.
 func (l *lab) startHosts(store string, zones ...string) ([]*host, error) {
+	stores := make([]string, len(zones))
+	for i := range stores {
+		stores[i] = store
+	}
+	return l.startHostsAt(stores, zones)
+}
+
+// startHostsAt starts hosts of which each follows a store of its own.
+func (l *lab) startHostsAt(stores, zones []string) ([]*host, error) {
 	var hosts []*host
 	var seeds []string
 	for i, zone := range zones {
@@ -46,7 +55,7 @@
 			return nil, err
 		}
 		text := wire.Settings("NAME", h.name, "ZONE", zones[i], "FRONT", h.front, "READY", h.ready, "CONTROL", h.control,
-			"PORTS", ports, "SEEDS", strings.Join(seeds[:min(len(seeds), 3)], ","), "STORE", store)
+			"PORTS", ports, "SEEDS", strings.Join(seeds[:min(len(seeds), 3)], ","), "STORE", stores[i])
 		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 			return nil, err
 		}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -40,6 +40,7 @@
 	"bodies":  playBodies,
 	"lastkey": playLastKey,
 	"path":    playPath,
+	"forward": playForward,
 	"poison":  playPoison,
 }
 
