--- a/review/lab2/bodies.go
+++ b/review/lab2/bodies.go
@@ -29,7 +29,7 @@
 // playBodies has callers pause in their bodies, and counts the ordinary requests that are
 // answered meanwhile.
 func playBodies(l *lab, trouble bool) (verdict, error) {
-	d := l.deployment()
+	d := l.deployment(plainTargets)
 	d.PutRawConfig(wire.Config(10, schoolOnly, false))
 	hosts, err := l.startHosts(d.StoreAddr, "north")
 	if err != nil {
--- a/review/lab2/forward.go
+++ b/review/lab2/forward.go
@@ -37,7 +37,7 @@
 // playForward partitions one of three hosts from all targets, and sends requests whose path is
 // percent-encoded in Latin-1 to all of them.
 func playForward(l *lab, trouble bool) (verdict, error) {
-	d := l.deployment()
+	d := l.deployment(plainTargets)
 	for i, zone := range []string{"north", "south", "centre"} {
 		d.Orders[i].Zone = zone
 		d.Register(d.Orders[i], "orders", "ready")
--- a/review/lab2/heads.go
+++ b/review/lab2/heads.go
@@ -28,7 +28,7 @@
 // playHeads has callers send long lists of empty prompt parts, and measures the memory of the
 // host that reads them.
 func playHeads(l *lab, trouble bool) (verdict, error) {
-	d := l.deployment()
+	d := l.deployment(plainTargets)
 	d.PutRawConfig(wire.Config(10, schoolOnly, false))
 	hosts, err := l.startHosts(d.StoreAddr, "north")
 	if err != nil {
--- a/review/lab2/lastkey.go
+++ b/review/lab2/lastkey.go
@@ -17,7 +17,7 @@
 // playLastKey takes the only tenant away, or another one than the caller's, and sends requests
 // with its key after the time within which it must not work any more.
 func playLastKey(l *lab, trouble bool) (verdict, error) {
-	d := l.deployment()
+	d := l.deployment(plainTargets)
 	both := `[{"name":"school","api_keys":["` + apiKey + `"],"priority":1},{"name":"clinic","api_keys":["key-of-clinic"],"priority":1}]`
 	before, after := both, `[{"name":"clinic","api_keys":["key-of-clinic"],"priority":1}]`
 	if trouble {
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -41,6 +41,7 @@
 	"lastkey": playLastKey,
 	"path":    playPath,
 	"forward": playForward,
+	"refused": playRefused,
 	"poison":  playPoison,
 }
 
@@ -138,12 +139,12 @@
 	_ = os.RemoveAll(l.temp)
 }
 
-// plainTargets is the number of targets of the plain service.
+// plainTargets is the usual number of targets of the plain service.
 const plainTargets = 3
 
-// deployment starts a store and the targets of the plain service.
-func (l *lab) deployment() *standin.Deployment {
-	d := standin.NewDeployment(plainTargets, 0)
+// deployment starts a store and targets of the plain service.
+func (l *lab) deployment(targets int) *standin.Deployment {
+	d := standin.NewDeployment(targets, 0)
 	l.atEnd(d.Close)
 	return d
 }
--- a/review/lab2/path.go
+++ b/review/lab2/path.go
@@ -10,7 +10,7 @@
 // playPath sends requests whose path begins with two slashes, on a route for all paths, and
 // compares what the targets were asked for.
 func playPath(l *lab, trouble bool) (verdict, error) {
-	d := l.deployment()
+	d := l.deployment(plainTargets)
 	d.PutRawConfig(wire.Config(10, schoolOnly, true))
 	hosts, err := l.startHosts(d.StoreAddr, "north")
 	if err != nil {
--- a/review/lab2/poison.go
+++ b/review/lab2/poison.go
@@ -22,7 +22,7 @@
 // playPoison repeats a request that crashes the engines that run it, and counts its arrivals
 // later than stableTime after the third crash.
 func playPoison(l *lab, trouble bool) (verdict, error) {
-	d := l.deployment()
+	d := l.deployment(plainTargets)
 	d.PutRawConfig(wire.Config(10, schoolOnly, false))
 	log := &poisonLog{}
 	for i := range poisonEngines {
