--- a/review/lab2/engine.go
+++ b/review/lab2/engine.go
@@ -18,7 +18,7 @@
 	crashDelay   = time.Second
 	restartDelay = 3 * time.Second
 	// poison is a part of the path of the request that crashes engines.
-	poison = "/chat/poison"
+	poison = "/book/poison"
 )
 
 // arrival is a request that crashes engines, as it arrives at one.
--- a/review/lab2/poison.go
+++ b/review/lab2/poison.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	poisonEngines = 8
+	poisonEngines = 16
 	// poisonInterval is the time between two repetitions of the request, at the hosts in turn.
-	poisonInterval = 200 * time.Millisecond
+	poisonInterval = 250 * time.Millisecond
 	poisonTime     = 75 * time.Second
 	// crashesUntilRule is the number of crashes, and retriesOfRule the number of arrivals
 	// later than stableTime after them, that the rule names.
@@ -43,7 +43,7 @@
 	begin := time.Now()
 	for n := 0; time.Since(begin) < poisonTime; n++ {
 		callers.Go(func() {
-			c := wire.Call{Method: "POST", Path: poison, ID: fmt.Sprintf("%016x", n+1), Key: apiKey, Deadline: 5000, Extra: wire.Prompt("5000,80", "5c1e07a2:40,91bd3f06:4960")}
+			c := wire.Call{Method: "POST", Path: poison, ID: fmt.Sprintf("%016x", n+1), Key: apiKey, Deadline: 15000, Extra: wire.Prompt("133000,80", "5c1e07a2:40,91bd3f06:132960")}
 			status, _, err := call(hosts[n%len(hosts)].front, c, "the same body")
 			mu.Lock()
 			defer mu.Unlock()
