--- a/review/lab3/fleet.go
+++ b/review/lab3/fleet.go
@@ -18,8 +18,8 @@
 
 // arrival is a request that has reached a target.
 type arrival struct {
-	id, path, peer string
-	at             time.Time
+	id, path string
+	at       time.Time
 }
 
 // target is a plain target that keeps what it ran.
@@ -28,6 +28,7 @@
 	delay             time.Duration
 	born              int64
 	header            http.Header // of its answers, beside those that the protocol wants
+	address           string      // where it listens; that of server if empty
 	server            *httptest.Server
 
 	mu   sync.Mutex
@@ -49,11 +50,8 @@
 		return // its sender has left
 	}
 	id := r.Header.Get(wire["attempt"])
-	t.mu.Lock()
-	t.runs = append(t.runs, arrival{id: id, path: r.RequestURI, peer: r.RemoteAddr, at: time.Now()})
-	header := t.header.Clone()
-	t.mu.Unlock()
-	for name, values := range header {
+	t.record(arrival{id: id, path: r.RequestURI, at: time.Now()})
+	for name, values := range t.header {
 		w.Header()[name] = values
 	}
 	w.Header().Set(wire["attempt"], id)
@@ -75,6 +73,15 @@
 	return n
 }
 
+// ran returns the runs of a request at all targets.
+func (f *fleet) ran(id string) int {
+	n := 0
+	for _, t := range f.targets {
+		n += t.ran(id)
+	}
+	return n
+}
+
 // fleet is a store and plain targets. Hosts that are to lose their way to the targets have a
 // view of the store of their own, which names proxies before them.
 type fleet struct {
@@ -121,7 +128,19 @@
 	return f, nil
 }
 
-func (t *target) addr() string { return strings.TrimPrefix(t.server.URL, "http://") }
+func (t *target) addr() string {
+	if t.address != "" {
+		return t.address
+	}
+	return strings.TrimPrefix(t.server.URL, "http://")
+}
+
+// record records a run.
+func (t *target) record(run arrival) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs = append(t.runs, run)
+}
 
 // put writes an item to the store, for all views.
 func (f *fleet) put(key string, value any) {
@@ -197,6 +216,11 @@
 
 // send sends one request without a retry.
 func (c *caller) send(h *host, method, path, id string, deadline time.Duration) answer {
+	return c.sendWithKey(h, method, path, id, callerKey, deadline)
+}
+
+// sendWithKey sends one request with a key, without a retry.
+func (c *caller) sendWithKey(h *host, method, path, id, key string, deadline time.Duration) answer {
 	body := ""
 	if method == http.MethodPost {
 		body = "order " + id
@@ -209,7 +233,7 @@
 	req.Host = "shop.example"
 	req.Header.Set(wire["attempt"], id)
 	req.Header.Set(wire["deadline"], fmt.Sprint(deadline.Milliseconds()))
-	req.Header.Set("Authorization", "Token "+callerKey)
+	req.Header.Set("Authorization", "Token "+key)
 	client := *c.client
 	client.Timeout = deadline
 	resp, err := client.Do(req)
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -182,7 +182,12 @@
 	if err := os.WriteFile(h.settingsPath, []byte(text), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(l.dir, h.name+".log"))
+	return l.run(h)
+}
+
+// run starts the process of a host, or starts it again.
+func (l *lab) run(h *host) error {
+	log, err := os.OpenFile(filepath.Join(l.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -193,10 +198,11 @@
 	if err := h.cmd.Start(); err != nil {
 		return err
 	}
-	h.exited = make(chan struct{})
+	cmd, exited := h.cmd, make(chan struct{})
+	h.exited = exited
 	go func() {
-		_ = h.cmd.Wait() // the case looks at the state of the process only
-		close(h.exited)
+		_ = cmd.Wait() // a process that was killed has no exit code
+		close(exited)
 	}()
 	return nil
 }
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -19,6 +19,9 @@
 	"crowd":   playCrowd,
 	"slashes": playSlashes,
 	"paths":   playPaths,
+	"extra":   playExtra,
+	"drill":   playDrill,
+	"parts":   playParts,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
