--- a/review/lab3/crowd.go
+++ b/review/lab3/crowd.go
@@ -3,16 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/plantainrun/plantainrun/platform/standin"
 )
 
 const (
@@ -28,46 +26,73 @@
 	crowdIdle = 100 * time.Millisecond
 	crowdPart = 300 * time.Millisecond
 	// crowdTime is how long the crowd stays.
-	crowdTime = 40 * time.Second
-	// settleTime is how long after the crowd is complete ordinary requests begin to count.
+	crowdTime = 24 * time.Second
+	// settleTime is how long after the crowd is complete ordinary orders begin to count.
 	settleTime = 8 * time.Second
-	// callerDeadline is the deadline of an ordinary request, and callerConnect how long its
-	// caller waits for a connection or an answer of one host, as the users' pages say.
+	// noteInterval is the time between two lines on the crowd in the record.
+	noteInterval = 4 * time.Second
+	// callerDeadline is the deadline of an ordinary order, and routeTimeout the timeout_ms of its route.
 	callerDeadline = 4 * time.Second
-	callerConnect  = time.Second
+	routeTimeout   = 2 * time.Second
+	// timeoutSlack is how long after its route's timeout a request may be without an answer.
+	timeoutSlack = 500 * time.Millisecond
 	// callers is the number of ordinary callers, and callerPause the time between two requests
 	// of one.
-	callers     = 20
+	callers     = 40
 	callerPause = 500 * time.Millisecond
+	// minLate is how many requests without an answer at their route's timeout are judged.
+	minLate = 8
 )
 
-// ordinary counts the ordinary requests that count.
+// ordinary counts the orders of ordinary callers that begin while the crowd is complete and
+// whose deadline is over before it leaves.
 type ordinary struct {
-	since          time.Time // requests that begin later count if they end before the crowd leaves
-	sent, answered atomic.Int64
+	from, until time.Time
+
+	sent, served atomic.Int64
+	unanswered   atomic.Int64 // at the timeout of their route
+	late         atomic.Int64 // those of them without an answer half a second later
+}
+
+// record records an order and how long it took until its answer.
+func (o *ordinary) record(begun time.Time, took time.Duration, ok bool) {
+	if begun.Before(o.from) || begun.After(o.until.Add(-callerDeadline)) {
+		return
+	}
+	o.sent.Add(1)
+	if ok {
+		o.served.Add(1)
+	}
+	if took > routeTimeout {
+		o.unanswered.Add(1)
+	}
+	if took > routeTimeout+timeoutSlack {
+		o.late.Add(1)
+	}
 }
 
 // playCrowd keeps all connections of the hosts busy with callers that send each request in
 // two parts, and counts the answers to ordinary callers beside them.
 func playCrowd(l *lab) (bool, error) {
-	d := standin.NewDeployment(3, 3)
-	defer d.Close()
-	d.PublishConfig(callerKey)
-	hosts, err := l.startHosts(d.StoreAddr, d.StoreAddr)
+	f, err := newFleet(3, 20*time.Millisecond, false)
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	hosts, err := l.startHosts(f.views[0].addr, f.views[0].addr)
 	if err != nil {
 		return false, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	counts := ordinary{since: time.Now().Add(calmTime + crowdRamp + settleTime)}
-	var counting atomic.Bool
+	from := time.Now().Add(calmTime + crowdRamp + settleTime)
+	counts := &ordinary{from: from, until: from.Add(crowdTime)}
 	var group sync.WaitGroup
 	for i := range callers {
-		group.Go(func() { l.callAsOrdinary(ctx, i, hosts, &counts, &counting) })
+		group.Go(func() { l.callAsOrdinary(ctx, i, hosts, counts) })
 	}
 	time.Sleep(calmTime)
-	var crowd atomic.Int64
-	var requests atomic.Int64
+	var crowd, requests atomic.Int64
 	if l.trouble {
 		l.note("the crowd arrives: %d connections at each host", crowdConns)
 		for _, h := range hosts {
@@ -79,21 +104,19 @@
 			}
 		}
 	}
-	time.Sleep(crowdRamp + settleTime)
-	counting.Store(true)
-	for end := time.Now().Add(crowdTime - settleTime); time.Now().Before(end); time.Sleep(4 * time.Second) {
-		l.note("crowd: %d connections with answers, %d requests; ordinary requests: %d sent, %d answered; hosts ready: %v %v",
-			crowd.Load(), requests.Load(), counts.sent.Load(), counts.answered.Load(), hosts[0].ready(), hosts[1].ready())
+	for time.Now().Before(counts.until) {
+		time.Sleep(noteInterval)
+		l.note("crowd: %d connections with answers, %d requests; ordinary orders: %d judged, %d served, %d late; hosts ready: %v %v",
+			crowd.Load(), requests.Load(), counts.sent.Load(), counts.served.Load(), counts.late.Load(), hosts[0].ready(), hosts[1].ready())
 	}
-	counting.Store(false)
 	cancel()
 	group.Wait()
-	sent, answered := counts.sent.Load(), counts.answered.Load()
-	l.note("ordinary requests: %d sent, %d answered within %s", sent, answered, callerDeadline)
+	sent, unanswered, late := counts.sent.Load(), counts.unanswered.Load(), counts.late.Load()
+	l.note("ordinary orders: %d sent, %d served; %d had no answer at the timeout of their route, %d of them none %s later", sent, counts.served.Load(), unanswered, late, timeoutSlack)
 	if sent == 0 {
-		return false, fmt.Errorf("no ordinary request was sent")
+		return false, errors.New("no ordinary order was sent")
 	}
-	return answered > 0, nil
+	return unanswered < minLate || 2*late <= unanswered, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -150,52 +173,38 @@
 	return err
 }
 
-// callAsOrdinary sends requests that follow the users' pages, each on a new connection, with
-// one retry at another host.
-func (l *lab) callAsOrdinary(ctx context.Context, caller int, hosts []*host, counts *ordinary, counting *atomic.Bool) {
+// callAsOrdinary sends orders, each on a new channel.
+func (l *lab) callAsOrdinary(ctx context.Context, caller int, hosts []*host, counts *ordinary) {
 	sleep(ctx, time.Duration(caller)*callerPause/callers)
 	for n := 0; ctx.Err() == nil; n++ {
-		begun := time.Now()
-		status := ""
-		ok := false
-		for try := 0; try < 2 && !ok && time.Since(begun) < callerDeadline; try++ {
-			ok, status = callOnce(hosts[(caller+n+try)%len(hosts)].callersAddr, fmt.Sprintf("o%d-%d-%d", caller, n, try), callerDeadline-time.Since(begun))
-		}
-		if counting.Load() && ctx.Err() == nil && begun.After(counts.since) {
-			counts.sent.Add(1)
-			if ok {
-				counts.answered.Add(1)
-			}
-		}
-		if !ok && caller == 0 && ctx.Err() == nil {
-			l.note("ordinary request %d of caller 0: %s after %s", n, status, time.Since(begun).Round(time.Millisecond))
-		}
+		id, begun := fmt.Sprintf("o%d-%d", caller, n), time.Now()
+		h := hosts[(caller+n)%len(hosts)]
+		status, err := callOnce(h.callersAddr, id)
+		counts.record(begun, time.Since(begun), status == http.StatusOK && err == nil)
+		l.note("order %s at %s: status %d, %v, after %s", id, h.name, status, err, time.Since(begun).Round(time.Millisecond))
 		sleep(ctx, callerPause)
 	}
 }
 
-// callOnce sends one idempotent request and reports whether it was answered.
-func callOnce(addr, id string, left time.Duration) (ok bool, status string) {
-	conn, err := net.DialTimeout("tcp", addr, min(left, callerConnect))
+// callOnce sends one order and returns the status of its whole answer.
+func callOnce(addr, id string) (status int, err error) {
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
-		return false, "no connection: " + err.Error()
+		return 0, err
 	}
 	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(min(left, max(left/3, callerConnect)))); err != nil {
-		return false, err.Error()
+	if err := conn.SetDeadline(time.Now().Add(callerDeadline)); err != nil {
+		return 0, err
 	}
-	request := "GET /status/7 HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\n%s: %d\r\nAuthorization: Token %s\r\nConnection: close\r\n\r\n"
-	if _, err := fmt.Fprintf(conn, request, wire["attempt"], id, wire["deadline"], left.Milliseconds(), callerKey); err != nil {
-		return false, err.Error()
+	request := "POST /order/7 HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\n%s: %d\r\nAuthorization: Token %s\r\nContent-Length: 5\r\nConnection: close\r\n\r\norder"
+	if _, err := fmt.Fprintf(conn, request, wire["attempt"], id, wire["deadline"], callerDeadline.Milliseconds(), callerKey); err != nil {
+		return 0, err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		return false, "no answer: " + err.Error()
+		return 0, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil || resp.StatusCode != http.StatusOK || !strings.HasPrefix(string(body), "done by") {
-		return false, fmt.Sprint("status ", resp.StatusCode)
-	}
-	return true, ""
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
 }
--- a/review/lab3/extra.go
+++ b/review/lab3/extra.go
@@ -123,7 +123,7 @@
 		for i, h := range hosts {
 			group.Go(func() {
 				id := fmt.Sprintf("e%d-%d", i, n)
-				a := callers.send(h, http.MethodPost, "/order/"+id, id, 4*time.Second)
+				a := callers.send(h, http.MethodPost, "/order/"+id, id)
 				mu.Lock()
 				defer mu.Unlock()
 				answers[id] = a
--- a/review/lab3/fleet.go
+++ b/review/lab3/fleet.go
@@ -215,8 +215,8 @@
 }
 
 // send sends one request without a retry.
-func (c *caller) send(h *host, method, path, id string, deadline time.Duration) answer {
-	return c.sendWithKey(h, method, path, id, callerKey, deadline)
+func (c *caller) send(h *host, method, path, id string) answer {
+	return c.sendWithKey(h, method, path, id, callerKey, callerDeadline)
 }
 
 // sendWithKey sends one request with a key, without a retry.
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -21,6 +21,7 @@
 	"paths":   playPaths,
 	"extra":   playExtra,
 	"drill":   playDrill,
+	"heads":   playHeads,
 	"parts":   playParts,
 }
 
--- a/review/lab3/parts.go
+++ b/review/lab3/parts.go
@@ -113,7 +113,7 @@
 		group.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
 				id := fmt.Sprintf("o%d-%d", i, n)
-				if a := callers.send(hosts[0], http.MethodPost, "/order/"+id, id, 4*time.Second); !a.success() && f.ran(id) > 0 {
+				if a := callers.send(hosts[0], http.MethodPost, "/order/"+id, id); !a.success() && f.ran(id) > 0 {
 					lost.Add(1)
 					l.note("order %s has run, and its caller has no answer: status %d, %v", id, a.status, a.err)
 				}
--- a/review/lab3/paths.go
+++ b/review/lab3/paths.go
@@ -14,8 +14,6 @@
 	stableTime = 3 * time.Second
 	// pathInterval is the time between two requests at each host.
 	pathInterval = 50 * time.Millisecond
-	// pathDeadline is the deadline of a request.
-	pathDeadline = 4 * time.Second
 )
 
 // tally counts first tries at one host.
@@ -23,14 +21,21 @@
 
 func (t tally) share() float64 { return float64(t.served) / float64(max(t.sent, 1)) }
 
-// playPaths cuts one of three hosts off from all targets, while callers send requests whose
-// paths have a percent-encoded byte that is no UTF-8, and targets name a file in Latin-1.
+// receiptName is the name of a file in the answers of the targets, in Latin-1.
+const receiptName = "attachment; filename=\"kvittering S\xf8ren.pdf\""
+
+// playPaths cuts one of three hosts off from all targets. Callers look up paths with a
+// percent-encoded byte that is no UTF-8, and send orders with plain paths, whose answers name
+// a file in Latin-1.
 func playPaths(l *lab) (bool, error) {
 	f, err := newFleet(3, 20*time.Millisecond, true, false)
 	if err != nil {
 		return false, err
 	}
 	defer f.close()
+	for _, t := range f.targets {
+		t.header.Set("Content-Disposition", receiptName)
+	}
 	hosts, err := l.startHosts(f.views[0].addr, f.views[1].addr, f.views[1].addr)
 	if err != nil {
 		return false, err
@@ -45,20 +50,17 @@
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	callers := newCaller()
-	end := time.Now().Add(cutFor - stableTime - pathDeadline/2)
+	end := time.Now().Add(cutFor - stableTime - callerDeadline/2)
 	for n := 0; time.Now().Before(end); n++ {
 		for i, h := range hosts {
 			group.Go(func() {
 				id := fmt.Sprintf("p%d-%d", i, n)
-				method, path := http.MethodPost, "/order/S%F8ren/"+id
+				method, path := http.MethodPost, "/order/"+id
 				if n%2 == 0 {
 					method, path = http.MethodGet, "/status/S%F8ren/"+id
 				}
-				a := callers.send(h, method, path, id, pathDeadline)
-				runs := 0
-				for _, t := range f.targets {
-					runs += t.ran(id)
-				}
+				a := callers.send(h, method, path, id)
+				runs := f.ran(id)
 				mu.Lock()
 				defer mu.Unlock()
 				tallies[i].sent++
