--- a/review/lab3/parts.go
+++ b/review/lab3/parts.go
@@ -172,6 +172,13 @@
 
 // sendPrompt sends a small prompt whose first part has an id of the given length.
 func sendPrompt(ctx context.Context, h *host, id string, length int) error {
+	part := fmt.Sprintf("%x", id)
+	part += strings.Repeat("0", max(0, length-len(part)))
+	return sendSharedPrompt(ctx, h, id, part)
+}
+
+// sendSharedPrompt sends a small prompt with the given first part.
+func sendSharedPrompt(ctx context.Context, h *host, id, part string) error {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", h.callersAddr)
 	if err != nil {
@@ -181,8 +188,6 @@
 	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
 		return err
 	}
-	part := fmt.Sprintf("%x", id)
-	part += strings.Repeat("0", max(0, length-len(part)))
 	request := "POST /chat/%s HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\n%s: 10000\r\nAuthorization: Token %s\r\n%s: 60,20\r\n%s: %s:40,%x:20\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi"
 	if _, err := fmt.Fprintf(conn, request, id, wire["attempt"], id, wire["deadline"], callerKey, wire["tokens"], wire["prefix"], part, "s"+id); err != nil {
 		return err
