--- a/review/lab3/crowd.go
+++ b/review/lab3/crowd.go
@@ -93,7 +93,7 @@
 	counts := &ordinary{from: from, until: from.Add(crowdTime)}
 	var group sync.WaitGroup
 	for i := range callers {
-		group.Go(func() { l.callAsOrdinary(ctx, i, hosts, counts) })
+		group.Go(func() { l.callAsOrdinary(ctx, i, hosts, f, counts) })
 	}
 	time.Sleep(calmTime)
 	var crowd, requests atomic.Int64
@@ -183,14 +183,14 @@
 }
 
 // callAsOrdinary sends orders, each on a new channel.
-func (l *lab) callAsOrdinary(ctx context.Context, caller int, hosts []*host, counts *ordinary) {
+func (l *lab) callAsOrdinary(ctx context.Context, caller int, hosts []*host, f *fleet, counts *ordinary) {
 	sleep(ctx, time.Duration(caller)*callerPause/callers)
 	for n := 0; ctx.Err() == nil; n++ {
 		id, begun := fmt.Sprintf("o%d-%d", caller, n), time.Now()
 		h := hosts[(caller+n)%len(hosts)]
 		status, err := callOnce(h.callersAddr, id)
 		counts.record(begun, time.Since(begun), status == http.StatusOK && err == nil)
-		l.note("order %s at %s: status %d, %v, after %s", id, h.name, status, err, time.Since(begun).Round(time.Millisecond))
+		l.write("order %s at %s: status %d, %v, after %s, ran %d times", id, h.name, status, err, time.Since(begun).Round(time.Millisecond), f.ran(id))
 		sleep(ctx, callerPause)
 	}
 }
--- a/review/lab3/extra.go
+++ b/review/lab3/extra.go
@@ -34,7 +34,7 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
-	sent   int // extra answers
+	before []string // ids of the requests before whose answers more bytes were sent
 }
 
 func (t *extraTarget) serve() {
@@ -51,11 +51,15 @@
 func (t *extraTarget) spoils() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.faulty || t.random.Float64() >= extraShare {
-		return false
-	}
-	t.sent++
-	return true
+	return t.faulty && t.random.Float64() < extraShare
+}
+
+// sendExtra sends a second answer, which belongs to no request, before the answer to one.
+func (t *extraTarget) sendExtra(conn net.Conn, id string) {
+	t.mu.Lock()
+	t.before = append(t.before, id)
+	t.mu.Unlock()
+	fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", wire["not-executed"])
 }
 
 func (t *extraTarget) serveConn(conn net.Conn) {
@@ -67,8 +71,10 @@
 		if err != nil {
 			return
 		}
+		id := req.Header.Get(wire["attempt"])
 		if extra {
-			fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", wire["not-executed"])
+			t.sendExtra(conn, id)
+			extra = false
 		}
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
@@ -77,7 +83,6 @@
 			fmt.Fprint(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
-		id := req.Header.Get(wire["attempt"])
 		t.record(arrival{id: id, path: req.RequestURI, at: time.Now()})
 		time.Sleep(t.delay)
 		body := "done by " + t.id
@@ -137,9 +142,14 @@
 	twice, refused := 0, 0
 	for id, a := range answers {
 		runs := 0
+		var ranAt []string
 		for _, t := range targets {
-			runs += t.ran(id)
+			if n := t.ran(id); n > 0 {
+				runs += n
+				ranAt = append(ranAt, t.id)
+			}
 		}
+		l.write("order %s: answered %d %q, ran %d times, at %v", id, a.status, a.body, runs, ranAt)
 		if runs > 1 {
 			twice++
 			l.note("TWICE: %s ran %d times; its caller got status %d", id, runs, a.status)
@@ -152,8 +162,10 @@
 	for _, t := range targets {
 		l.note("%s ran %d orders", t.id, len(t.runs))
 	}
-	l.note("%d orders sent; %d answers were followed by more bytes; %d orders ran twice, %d ran and were refused", len(answers), targets[0].sent, twice, refused)
-	if l.trouble && targets[0].sent == 0 {
+	extras := targets[0].before
+	l.note("more bytes were sent before the answers to %v", extras)
+	l.note("%d orders sent; %d answers were followed by more bytes; %d orders ran twice, %d ran and were refused", len(answers), len(extras), twice, refused)
+	if l.trouble && len(extras) == 0 {
 		return false, errors.New("no answer was followed by more bytes")
 	}
 	return twice == 0 && refused == 0, nil
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -63,13 +63,16 @@
 	os.Exit(exitFailed)
 }
 
-// note writes a line of the record, with the time since the start of the case.
-func (l *lab) note(format string, args ...any) {
+// note writes a line of the record, and prints it.
+func (l *lab) note(format string, args ...any) { fmt.Println(l.write(format, args...)) }
+
+// write writes a line of the record, with the time since the start of the case.
+func (l *lab) write(format string, args ...any) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	line := fmt.Sprintf("%7.3f ", time.Since(l.start).Seconds()) + fmt.Sprintf(format, args...)
 	fmt.Fprintln(l.record, line)
-	fmt.Println(line)
+	return line
 }
 
 // close ends the hosts and removes the temporary folder.
