Review: a play that is ended from outside ends its hosts, and none runs over 110 s

Ended by SIGTERM after 4 s, the play of case 7 left three hosts and a folder; that of case 9 left nothing. Now both players end what they started.

--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -7,8 +7,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/plantainrun/plantainrun/platform/standin"
@@ -82,6 +84,7 @@
 		os.Exit(exitFailed)
 	})
 	defer watchdog.Stop()
+	go l.awaitSignal()
 	l.logf("case %s, trouble %v", name, trouble)
 	v, err := play(l, trouble)
 	l.close()
@@ -97,6 +100,16 @@
 	return exitHeld
 }
 
+// awaitSignal ends the play, with its processes, when it is told to.
+func (l *lab) awaitSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	received := <-signals
+	l.logf("could not run: %s", received)
+	l.close()
+	os.Exit(exitFailed)
+}
+
 func newLab(binary, recordPath string) (*lab, error) {
 	absolute, err := filepath.Abs(binary)
 	if err != nil {
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 // Exit codes of a case.
@@ -14,6 +15,9 @@
 	exitFailed = 2 // the case could not run
 )
 
+// maxPlayTime is how long a case may take.
+const maxPlayTime = 110 * time.Second
+
 // cases maps the names of the cases to what plays them. Each returns whether the rule held.
 var cases = map[string]func(*lab) (bool, error){
 	"crowd":   playCrowd,
@@ -38,6 +42,12 @@
 		return exitFailed
 	}
 	defer l.close()
+	watchdog := time.AfterFunc(maxPlayTime, func() {
+		l.note("could not run: the case did not end in time")
+		l.close()
+		os.Exit(exitFailed)
+	})
+	defer watchdog.Stop()
 	held, err := cases[args[0]](l)
 	switch {
 	case err != nil:
