Answers whose status is none of a final response are no answers

What callers saw: a target in trouble answers with status 000. The caller's connection is closed without an answer, again and again: the target is never avoided. 099, +20 and -00 end the same way, 600 to 999 and 101 were passed on, and 000 with the mark of a request that did not run was believed.

Cause: the HTTP library takes any three characters that parse as a number of 0 or more for a status, and any version of the form HTTP/d.d. The server side of the same library panics on a status below 100. By then the host had recorded the answer as a good one.

Change: the connection to a target checks the status line of each response as it is read, also of those before an interim one, and the attempt ends like any without an answer: the request may have run, the target is blamed, an idempotent request goes on to the next one. The error names the reason and quotes the line. A second way, to look at the response once the library has read it, was left: it cannot see a version, two blanks, or what the library has dropped.

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -16,12 +16,16 @@
 // its connection may be a part of it.
 var ErrReset = errors.New("connection was reset, so the response may not be whole; do not use it")
 
-// Conn is a client's TCP connection on which a read reports each reset. The kernel reports a
-// reset once, to a read or to a write, whichever comes first, and lets later reads see an
-// ordinary end. It is as safe for concurrent use as the connection that it wraps.
+// Conn is a client's TCP connection. A read checks the head of each response, and reports each
+// reset: the kernel reports a reset once, to a read or to a write, whichever comes first, and
+// lets later reads see an ordinary end. A Conn is as safe for concurrent use as the connection
+// that it wraps.
 type Conn struct {
 	net.Conn
 
+	headMu sync.Mutex
+	head   head
+
 	mu      sync.Mutex
 	writing int  // writes in progress
 	failed  bool // a write has failed
@@ -51,9 +55,27 @@
 	c.failed = c.failed || err != nil
 }
 
-// Read implements net.Conn. It returns ErrReset in place of io.EOF if the connection was reset.
+// ExpectResponse makes the next bytes that are read count as the head of a response. It is
+// called before a request is sent, for the first byte of its response.
+func (c *Conn) ExpectResponse() {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head = head{expected: true}
+}
+
+func (c *Conn) checkHead(p []byte) error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	return c.head.check(p)
+}
+
+// Read implements net.Conn. It returns an *Error in place of a malformed head, and ErrReset in
+// place of io.EOF if the connection was reset.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if malformed := c.checkHead(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	if errors.Is(err, io.EOF) && c.maybeReset() {
 		return n, ErrReset
 	}
