Answers whose length is ambiguous are no answers

What callers may see: a target in trouble names an encoding in an answer of HTTP/1.0, and the caller gets the sizes of the chunks as part of the body; it names a length beside an encoding, or either with a status that allows no body, and the caller gets a body that is not the target's, or a 204 that announces bytes.

Cause: the HTTP library ignores an encoding in HTTP/1.0, drops a length beside an encoding, and keeps the length of a 204.

Evidence, on the code before: TestMalformedAnswerIsNoAnswer failed in 7 of 22 new rows (length and encoding in either order, encoding in version 1.0, 204 with a length or in chunks, interim heads with either). The other 15, lengths and chunks that cannot be read, were rejected already: they keep their tests. Not changed: a trailer that is malformed. Nothing of a trailer is passed on.

Change: the connection notes length and encoding of each head and rejects what is ambiguous at its end. The same length twice and a 204 of length 0 are accepted as before (TestOddAnswerThatHTTPAllowsIsPassedOn). An error of a head is returned by each later read, since a reader of lines takes what came before an error for a whole line: TestVerdictDoesNotDependOnTheReads fails without that.

After: all rows pass.

--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -20,6 +20,7 @@
 	ReasonFieldName  Reason = "name of a field is malformed"
 	ReasonFieldValue Reason = "value of a field holds a control byte"
 	ReasonFolded     Reason = "line continues the value of a field"
+	ReasonFraming    Reason = "length or encoding of the body is ambiguous"
 )
 
 // maxQuotedBytes limits what an error quotes of a malformed line.
@@ -45,12 +46,16 @@
 type head struct {
 	expected bool   // what is read next belongs to a head
 	partial  []byte // of a line that has not been read whole
-	status   int    // 0 until the status line has been read
+	started  bool   // the status line has been read
+	err      error  // of a malformed line; what follows it belongs to no response
+	statusLine
+	framing
 }
 
-// check checks what is read next.
+// check checks what is read next. After an error it returns the same one again: a reader of lines
+// may take what came before the error for a whole line.
 func (h *head) check(p []byte) error {
-	for h.expected && len(p) > 0 {
+	for h.expected && h.err == nil && len(p) > 0 {
 		end := bytes.IndexByte(p, '\n')
 		if end < 0 {
 			h.partial = append(h.partial, p...)
@@ -61,30 +66,31 @@
 			line = append(h.partial, line...)
 			h.partial = nil
 		}
-		if err := h.checkLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
-			return err
-		}
+		h.err = h.checkLine(bytes.TrimSuffix(line, []byte("\r")))
 		p = p[end+1:]
 	}
-	return nil
+	return h.err
 }
 
 func (h *head) checkLine(line []byte) error {
-	if h.status == 0 {
-		var err error
-		h.status, err = parseStatusLine(line)
-		return err
-	}
-	if len(line) == 0 {
+	var err error
+	switch {
+	case !h.started:
+		h.started = true
+		h.statusLine, err = parseStatusLine(line)
+	case len(line) > 0:
+		err = h.checkField(line)
+	case h.ambiguous(h.statusLine):
+		err = newError(ReasonFraming, line)
+	default:
 		*h = head{expected: interim(h.status)}
-		return nil
 	}
-	return checkField(line)
+	return err
 }
 
 // checkField checks one line with a field. A value that goes on in the next line is rejected: what
 // follows a blank there may have been meant as a field.
-func checkField(line []byte) error {
+func (h *head) checkField(line []byte) error {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch {
 	case line[0] == ' ', line[0] == '\t':
@@ -94,25 +100,58 @@
 	case !httpguts.ValidHeaderFieldValue(string(value)):
 		return newError(ReasonFieldValue, line)
 	}
+	h.note(name, value)
 	return nil
 }
 
+// framing is what a head says of the length of its body.
+type framing struct {
+	encoded  bool // in a transfer encoding
+	measured bool // by a length
+	hasBytes bool // the length is not 0
+}
+
+// note notes a field that tells how long the body is.
+func (f *framing) note(name, value []byte) {
+	switch {
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		f.encoded = true
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		f.measured = true
+		f.hasBytes = f.hasBytes || len(bytes.Trim(value, " \t0")) > 0
+	}
+}
+
+// ambiguous reports whether the body could be taken for another one than the sender meant: it has
+// a length and an encoding, an encoding that its version does not know, or its status allows none.
+func (f framing) ambiguous(s statusLine) bool {
+	if interim(s.status) || s.status == http.StatusNoContent {
+		return f.encoded || f.hasBytes
+	}
+	return f.encoded && (f.measured || s.minor == 0)
+}
+
 // statusDigits is the length of a status.
 const statusDigits = 3
 
-// parseStatusLine returns the status of a response of HTTP/1, an interim or a final one.
-func parseStatusLine(line []byte) (int, error) {
+// statusLine is the first line of a response of HTTP/1.
+type statusLine struct {
+	minor  int // version
+	status int // an interim or a final one
+}
+
+func parseStatusLine(line []byte) (statusLine, error) {
 	version, rest, _ := strings.Cut(string(line), " ")
 	digits, reason, _ := strings.Cut(rest, " ")
-	major, _, known := http.ParseHTTPVersion(version)
+	major, minor, known := http.ParseHTTPVersion(version)
 	status, err := strconv.ParseUint(digits, 10, 16)
 	if !known || major != 1 || err != nil || len(digits) != statusDigits || !httpguts.ValidHeaderFieldValue(reason) {
-		return 0, newError(ReasonStatusLine, line)
+		return statusLine{}, newError(ReasonStatusLine, line)
 	}
 	if !interim(int(status)) && !ValidStatus(int(status)) {
-		return 0, newError(ReasonStatus, line)
+		return statusLine{}, newError(ReasonStatus, line)
 	}
-	return int(status), nil
+	return statusLine{minor: minor, status: int(status)}, nil
 }
 
 // interim reports whether another response follows that with the status. No client here asks
