A malformed answer that another host passes on is no answer

What callers may see: during an upgrade an older host takes 000, or a name with a blank, for an answer and passes it on; the host that the caller has asked closes the connection without an answer, or completes an interim status as a 200 with the target's signature.

Cause: the host that gets a response from another one did not look at its status and fields, nor at the status of a refusal.

Change: the first event of a response from another host is checked by the same rules as the head of a target's, and a refusal has to have a status of one. Otherwise the request may have run there: an order ends with 502, an idempotent request may go on. Two ways: the check where the answer is written to the caller would cover both sources, but comes after the answer has been recorded as a good one; here and at the connection to a target it comes before.

--- a/internal/forward/requests.go
+++ b/internal/forward/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainrun/plantainrun/internal/forward/forwardpb"
+	"github.com/plantainrun/plantainrun/internal/httpwire"
 	"github.com/plantainrun/plantainrun/internal/mesh"
 	"github.com/plantainrun/plantainrun/internal/relay"
 )
@@ -128,12 +130,28 @@
 	if err := s.Recv(&first); err != nil {
 		return nil, err
 	}
-	if first.GetRefusal() == nil && first.GetHead() == nil {
-		return nil, mesh.ErrProtocol
+	if err := checkFirst(&first); err != nil {
+		return nil, err
 	}
 	return &first, nil
 }
 
+// checkFirst checks that the first event of a response is a refusal or a head that can be passed
+// on.
+func checkFirst(first *forwardpb.RequestEvent) error {
+	if refusal := first.GetRefusal(); refusal != nil {
+		if refusal.GetStatus() < http.StatusBadRequest {
+			return mesh.ErrProtocol
+		}
+		return httpwire.CheckHead(int(refusal.GetStatus()), nil)
+	}
+	head := first.GetHead()
+	if head == nil {
+		return mesh.ErrProtocol
+	}
+	return httpwire.CheckHead(int(head.GetStatus()), decodeHeader(head.GetHeader()))
+}
+
 // handleRefusal returns the refusal, or nil if another host may take the request.
 func (f *RequestForwarder) handleRefusal(call relay.ForwardCall, host string, refusal relay.Refusal) *relay.Forwarded {
 	if !refusal.Reason.OnlyHere() {
--- a/internal/forward/requests_test.go
+++ b/internal/forward/requests_test.go
@@ -242,6 +242,46 @@
 	}
 }
 
+// Guards against passing on what another host, maybe of an older version, took for an answer or a
+// refusal: the request may have run there.
+func TestMalformedAnswerOfAnotherHostIsNoAnswer(t *testing.T) {
+	passOn := func(status int, name, value string) handlerFunc {
+		return func(_ context.Context, _ *relay.Request, w relay.ResponseWriter) {
+			w.WriteResponse(status, http.Header{name: {value}}, []byte("whole"))
+		}
+	}
+	refuseWith := func(status int, reason relay.Reason) handlerFunc {
+		return func(_ context.Context, _ *relay.Request, w relay.ResponseWriter) {
+			w.WriteRefusal(relay.Refusal{Status: status, Reason: reason})
+		}
+	}
+	for name, handler := range map[string]handlerFunc{
+		"status 0":                   passOn(0, "X-Note", "a"),
+		"status 20":                  passOn(20, "X-Note", "a"),
+		"interim status":             passOn(http.StatusEarlyHints, "X-Note", "a"),
+		"another protocol":           passOn(http.StatusSwitchingProtocols, "X-Note", "a"),
+		"status 600":                 passOn(600, "X-Note", "a"),
+		"negative status":            passOn(-200, "X-Note", "a"),
+		"blank in a name":            passOn(http.StatusOK, "X Note", "a"),
+		"control byte in a name":     passOn(http.StatusOK, "X-\x01Note", "a"),
+		"no name":                    passOn(http.StatusOK, "", "a"),
+		"line feed in a value":       passOn(http.StatusOK, "X-Note", "a\r\nX-Other: b"),
+		"refusal of status 0":        refuseWith(0, relay.ReasonQuarantined),
+		"refusal with a success":     refuseWith(http.StatusOK, relay.ReasonQuarantined),
+		"refusal of an interim kind": refuseWith(http.StatusContinue, relay.ReasonDraining),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := &helpers{handlers: map[string]handlerFunc{"a": handler, "b": handler}}
+			out, err := h.forwarder(forward.HostInfo{ID: "a", Domain: "north"}, forward.HostInfo{ID: "b", Domain: "north"}).Forward(t.Context(), newCall())
+			var lost *relay.SendError
+			g.Expect(errors.As(err, &lost)).To(BeTrue(), "%+v, %v", out, err)
+			g.Expect(lost.MaybeSent).To(BeTrue())
+			g.Expect(h.opened).To(HaveLen(1))
+		})
+	}
+}
+
 func TestLeavingCallerEndsTheRequestAtTheOtherHost(t *testing.T) {
 	g := NewWithT(t)
 	ended := make(chan struct{})
--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -34,11 +34,11 @@
 
 // Error implements error.
 func (e *Error) Error() string {
-	return fmt.Sprintf("no HTTP response was received, so the request may have run; check the sender: %s: %q", e.Reason, e.Line)
+	return fmt.Sprintf("no sound response was received, so the request may have run; check the sender: %s: %q", e.Reason, e.Line)
 }
 
-func newError(reason Reason, line []byte) *Error {
-	return &Error{Reason: reason, Line: string(line[:min(len(line), maxQuotedBytes)])}
+func newError(reason Reason, line string) *Error {
+	return &Error{Reason: reason, Line: line[:min(len(line), maxQuotedBytes)]}
 }
 
 // head checks the head of a response line by line, as it is read, and those of the interim
@@ -81,7 +81,7 @@
 	case len(line) > 0:
 		err = h.checkField(line)
 	case h.ambiguous(h.statusLine):
-		err = newError(ReasonFraming, line)
+		err = newError(ReasonFraming, "")
 	default:
 		*h = head{expected: interim(h.status)}
 	}
@@ -91,16 +91,36 @@
 // checkField checks one line with a field. A value that goes on in the next line is rejected: what
 // follows a blank there may have been meant as a field.
 func (h *head) checkField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return newError(ReasonFolded, string(line))
+	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
+	h.note(name, value)
+	return checkNameAndValue(string(name), string(value))
+}
+
+func checkNameAndValue(name, value string) error {
 	switch {
-	case line[0] == ' ', line[0] == '\t':
-		return newError(ReasonFolded, line)
-	case !httpguts.ValidHeaderFieldName(string(name)):
-		return newError(ReasonFieldName, line)
-	case !httpguts.ValidHeaderFieldValue(string(value)):
-		return newError(ReasonFieldValue, line)
+	case !httpguts.ValidHeaderFieldName(name):
+		return newError(ReasonFieldName, name+":"+value)
+	case !httpguts.ValidHeaderFieldValue(value):
+		return newError(ReasonFieldValue, name+":"+value)
+	}
+	return nil
+}
+
+// CheckHead checks the head of a response that does not come over HTTP. The error is an *Error.
+func CheckHead(status int, header http.Header) error {
+	if !validStatus(status) {
+		return newError(ReasonStatus, strconv.Itoa(status))
+	}
+	for name, values := range header {
+		for _, value := range values {
+			if err := checkNameAndValue(name, value); err != nil {
+				return err
+			}
+		}
 	}
-	h.note(name, value)
 	return nil
 }
 
@@ -146,10 +166,10 @@
 	major, minor, known := http.ParseHTTPVersion(version)
 	status, err := strconv.ParseUint(digits, 10, 16)
 	if !known || major != 1 || err != nil || len(digits) != statusDigits || !httpguts.ValidHeaderFieldValue(reason) {
-		return statusLine{}, newError(ReasonStatusLine, line)
+		return statusLine{}, newError(ReasonStatusLine, string(line))
 	}
-	if !interim(int(status)) && !ValidStatus(int(status)) {
-		return statusLine{}, newError(ReasonStatus, line)
+	if !interim(int(status)) && !validStatus(int(status)) {
+		return statusLine{}, newError(ReasonStatus, string(line))
 	}
 	return statusLine{minor: minor, status: int(status)}, nil
 }
@@ -160,8 +180,8 @@
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// ValidStatus reports whether a response with the status can be the answer to a request.
-func ValidStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+// validStatus reports whether a response with the status can be the answer to a request.
+func validStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
 
 // maxStatus is the largest status of HTTP.
 const maxStatus = 599
