Malformed answers of plain services are no answers

What callers may see with plantainrun serve: a service in trouble answers 000 and the caller's connection is closed without an answer; 600 is passed on; 101 becomes something else; a line with a blank in its name is dropped; and a malformed refusal is believed, so that a call which may have run is told as not run.

Cause: as at the other targets, the HTTP library lets these through, and nothing else looked.

Control bytes were rejected already, and an answer without a length has never been taken for whole here.

Change: the connections of this client check what they read, in the same way as those to targets on the users' platform. The outcome is unknown, the reason is that the answer is incomplete, and the error tells what was wrong.

--- a/internal/service/gate.go
+++ b/internal/service/gate.go
@@ -2,8 +2,9 @@
 
 import (
 	"errors"
-	"net"
 	"sync"
+
+	"github.com/plantainrun/plantainrun/internal/httpwire"
 )
 
 // errDeadlinePassed is returned instead of sending the first byte after its
@@ -63,7 +64,7 @@
 
 // gatedConn is a connection whose writes need the permission of a sendGate.
 type gatedConn struct {
-	net.Conn
+	*httpwire.Conn
 	gate *sendGate
 	sent bool // the connection accepted at least one byte
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -22,6 +22,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/internal/httpwire"
 	"github.com/plantainrun/plantainrun/internal/membudget"
 )
 
@@ -92,7 +93,7 @@
 // Client sends requests to services. It is safe for concurrent use.
 type Client struct {
 	cfg           Config
-	pooled        *http.Transport
+	pooled        httpwire.Transport
 	pooledService httpc.Service // uses the pooled transport
 }
 
@@ -104,7 +105,7 @@
 		cfg.Dial = dialer.DialContext
 	}
 	c := &Client{cfg: cfg}
-	c.pooled = c.transport(c.dial)
+	c.pooled = c.transport(httpwire.Dial(c.dial))
 	c.pooled.MaxIdleConnsPerHost = cfg.MaxIdlePerHost
 	c.pooledService = httpc.NewServiceWithClient(clientName, httpClient(c.pooled))
 	return c
@@ -130,7 +131,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &gatedConn{Conn: conn, gate: g}, nil
+		return &gatedConn{Conn: httpwire.Wrap(conn), gate: g}, nil
 	})
 	t.DisableKeepAlives = true
 	defer t.CloseIdleConnections()
@@ -195,13 +196,13 @@
 }
 
 // transport returns a transport that modifies neither requests nor responses.
-func (c *Client) transport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
-	return &http.Transport{
+func (c *Client) transport(dial httpwire.DialFunc) httpwire.Transport {
+	return httpwire.Transport{Transport: &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: membudget.MaxResponseHeadBytes,
-	}
+	}}
 }
 
 // idleTimeout is the time after which an idle pooled connection is closed.
