Malformed answers of engines are no answers

What callers may see with plantainrun serve: an engine that has accepted a prompt answers 000, 101, 600 or 204 with the mark of a refusal, and the caller is told that the prompt did not run; a cancel or a report whose answer is malformed counts as answered.

Cause: as in the other clients, the HTTP library lets these through.

Evidence, on the code before: TestMalformedAnswerOfAnEngineIsNoAnswer failed in 17 of 22 rows (eleven answers with and without the mark): for prompts a status that is none and 204 with a body, told as failed or as not run, and for cancels and reports all but control bytes, which were rejected. The text of an answer was never at stake: each line has an id and an offset, and the last one a count.

Change: the connections to engines check what they read. A reset that a write was told of also ends a stream as lost now, where it ended as one without an end marker; both resume.

After: all rows pass, and the stateful tests of the client.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -17,13 +17,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainrun/plantainrun/internal/httpwire"
 	"github.com/plantainrun/plantainrun/internal/topology"
 )
 
 // Options configures a Client. The zero value selects the defaults.
 type Options struct {
 	Timeouts Timeouts
-	Dial     DialFunc // default: net.Dialer
+	Dial     httpwire.DialFunc // default: net.Dialer
 	Cancel   CancelOptions
 }
 
@@ -41,7 +42,7 @@
 // Client sends requests to engines. It is safe for concurrent use.
 type Client struct {
 	timeouts      Timeouts
-	dial          DialFunc
+	dial          httpwire.DialFunc
 	canceller     *Canceller
 	breakerPrefix string // makes the names of httpc's breakers unique to this client, as they are global
 
--- a/internal/engine/endpoint.go
+++ b/internal/engine/endpoint.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainrun/plantainrun/internal/httpwire"
 	"github.com/plantainrun/plantainrun/internal/membudget"
 )
 
@@ -18,21 +19,18 @@
 	writeBufferBytes     = 16 << 10
 )
 
-// DialFunc opens a connection; it has the signature of net.Dialer.DialContext.
-type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // endpoint holds the connections to one engine address.
 type endpoint struct {
 	addr     string
-	pooled   *http.Transport // reuses idle connections
-	unpooled *http.Transport // opens a new connection for each request
+	pooled   httpwire.Transport // reuses idle connections
+	unpooled httpwire.Transport // opens a new connection for each request
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	lastUsed atomic.Int64 // Unix time in nanoseconds of the last request
 }
 
-func newEndpoint(addr string, dial DialFunc) *endpoint {
+func newEndpoint(addr string, dial httpwire.DialFunc) *endpoint {
 	ep := &endpoint{addr: addr, conns: make(map[*conn]struct{})}
 	tracked := func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -43,7 +41,7 @@
 		}
 		return ep.track(inner), nil
 	}
-	ep.pooled = &http.Transport{
+	ep.pooled = httpwire.Transport{Transport: &http.Transport{
 		DialContext:         tracked,
 		MaxIdleConnsPerHost: idleConnsPerEndpoint,
 		IdleConnTimeout:     idleConnTimeout,
@@ -51,19 +49,19 @@
 		WriteBufferSize:     writeBufferBytes,
 
 		MaxResponseHeaderBytes: membudget.MaxResponseHeadBytes,
-	}
-	ep.unpooled = &http.Transport{
+	}}
+	ep.unpooled = httpwire.Transport{Transport: &http.Transport{
 		DialContext:        tracked,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		WriteBufferSize:    writeBufferBytes,
 
 		MaxResponseHeaderBytes: membudget.MaxResponseHeadBytes,
-	}
+	}}
 	return ep
 }
 
-func (ep *endpoint) transport(newConn bool) *http.Transport {
+func (ep *endpoint) transport(newConn bool) httpwire.Transport {
 	if newConn {
 		return ep.unpooled
 	}
@@ -71,7 +69,7 @@
 }
 
 func (ep *endpoint) track(inner net.Conn) *conn {
-	c := &conn{Conn: inner, endpoint: ep}
+	c := &conn{Conn: httpwire.Wrap(inner), endpoint: ep}
 	c.markProgress()
 	ep.mu.Lock()
 	defer ep.mu.Unlock()
@@ -125,7 +123,7 @@
 // conn is a connection that counts the writes to it and records the time of its last
 // read.
 type conn struct {
-	net.Conn
+	*httpwire.Conn
 	endpoint *endpoint
 	lastRead atomic.Int64 // Unix time in nanoseconds; initially the time the connection was opened
 
