Malformed answers of the configuration service are no answers

What callers may see with plantainrun serve: rules, hosts or targets from an answer whose head is malformed.

Cause: as in the other clients, the HTTP library lets these through.

Change: the connections to the service check the heads that they read; the call fails as one to a service that is unavailable.

--- a/internal/confservice/client.go
+++ b/internal/confservice/client.go
@@ -18,6 +18,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 	"golang.org/x/time/rate"
 
+	"github.com/plantainrun/plantainrun/internal/httpwire"
 	"github.com/plantainrun/plantainrun/internal/membudget"
 )
 
@@ -91,13 +92,14 @@
 
 // newTransport returns a transport that keeps few idle connections and closes
 // them soon, since a connection can stop responding without being closed.
-func newTransport() *http.Transport {
+func newTransport() httpwire.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxIdleConnsPerHost = 2
 	t.IdleConnTimeout = 10 * time.Second
 	t.Proxy = nil
 	t.MaxResponseHeaderBytes = membudget.MaxResponseHeadBytes
-	return t
+	t.DialContext = httpwire.Dial(t.DialContext)
+	return httpwire.Transport{Transport: t}
 }
 
 // Stats returns a snapshot of the counters.
