A malformed answer that the owner of a ticket passes on is no answer

What callers may see with plantainrun serve: an owner of an older version passes an answer of status 0, or an empty message, on; the host that the caller has asked closes the connection without an answer.

Cause: the answer of an owner was passed on without a look at its status and fields.

Evidence, on the code before: all 7 rows of TestMalformedAnswerOfAnOwnerIsNoAnswer failed.

Change: it is checked by the same rules; the call may have run and is told as unknown.

After: all rows pass, and the tests of calls with tickets.

--- a/internal/forward/calls.go
+++ b/internal/forward/calls.go
@@ -9,6 +9,7 @@
 	"github.com/plantainrun/plantainrun/coord/identity"
 	"github.com/plantainrun/plantainrun/coord/outcome"
 	"github.com/plantainrun/plantainrun/internal/forward/forwardpb"
+	"github.com/plantainrun/plantainrun/internal/httpwire"
 	"github.com/plantainrun/plantainrun/internal/mesh"
 	"github.com/plantainrun/plantainrun/internal/once"
 )
@@ -85,11 +86,15 @@
 	if f := reply.GetFailure(); f != nil {
 		return once.Response{}, decodeError(f)
 	}
+	status, header := int(reply.GetStatus()), decodeHeader(reply.GetHeader())
+	if err := httpwire.CheckHead(status, header); err != nil {
+		return once.Response{}, &once.OwnerUnavailableError{MaybeSent: true, Err: err}
+	}
 	result := outcome.Done
-	if reply.GetStatus() >= http.StatusInternalServerError {
+	if status >= http.StatusInternalServerError {
 		result = outcome.Failed
 	}
-	return once.Response{Outcome: result, Status: int(reply.GetStatus()), Header: decodeHeader(reply.GetHeader()), Body: reply.GetBody()}, nil
+	return once.Response{Outcome: result, Status: status, Header: header, Body: reply.GetBody()}, nil
 }
 
 func serveCall(ctx context.Context, s *mesh.Stream, owner Owner) error {
