A request whose handling panics is answered, and gives its place back

What callers saw: an answer that could not be written, such as one of status 000, closed their connection without an answer. Where another host had passed the request on, such a panic would have ended the process of the host that took it.

Cause: the HTTP library panics on a status below 100, and ends the connection of a handler that panics. The request's place at its target was not given back, as its attempt had not ended; memory at engines, the memory of head and body, the count of requests and the entry in the shutdown were.

Change: the relay ends such a request with 502, or aborts it if part of the answer was written, and logs an error with the stack; an attempt that ends for any reason gives its place back. A writer tells whether it has begun only once the status has been written, and a refusal bears nothing of the answer before it. Two ways: at the listener alone, callers would get an error, but requests of other hosts would not be covered, so the relay does it.

No answer is known any more that ends a handler this way; this is for the next one.

--- a/internal/forward/request_server.go
+++ b/internal/forward/request_server.go
@@ -108,6 +108,9 @@
 	return w.err
 }
 
+// Begun reports whether any part of a response was written.
+func (w *streamWriter) Begun() bool { return w.open || w.done }
+
 // Abort leaves the response incomplete.
 func (w *streamWriter) Abort() { w.open = false }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -57,8 +57,8 @@
 	case err != nil:
 		return resultRejected, j.placementReason(err)
 	}
+	defer placed.End(placement.Abandoned) // unless it has ended
 	if j.waitTooLong(placed) {
-		placed.End(placement.Abandoned)
 		return resultRejected, j.waitReason()
 	}
 	reservations, err := j.relay.reserve(ctx, j, placed)
@@ -68,7 +68,6 @@
 	}
 	defer reservations.release()
 	if reason := j.withdrawn(placed); reason != "" { // since memory was reserved
-		placed.End(placement.Abandoned)
 		return resultPostponed, reason
 	}
 	sendCtx, cancel := context.WithCancel(ctx)
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -300,6 +300,7 @@
 	r.status, r.header = status, header
 }
 func (r *recordedResponse) WriteChunk(p []byte) error { r.body.Write(p); return nil }
+func (r *recordedResponse) Begun() bool               { return r.refusal != nil || r.status != 0 }
 func (r *recordedResponse) Abort()                    { r.aborted = true }
 
 // fakeRetryBudget allows a fixed number of retries.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -152,6 +152,7 @@
 // Serve processes one request and writes its final response. ctx is cancelled
 // when the caller disconnects.
 func (r *Relay) Serve(ctx context.Context, req *Request, writer ResponseWriter) {
+	defer r.endAfterPanic(req, writer)
 	r.active.Add(1)
 	r.cfg.Observer.AddActive(1)
 	defer func() {
@@ -174,6 +175,20 @@
 	j.run(deadlineCtx)
 }
 
+// endAfterPanic ends a request whose handling panics with an error. The request may have run.
+func (r *Relay) endAfterPanic(req *Request, writer ResponseWriter) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	r.cfg.Log.Error("handling of a request panicked", zap.String("request", req.ID), zap.Any("panic", fault), zap.Stack("stack"))
+	if writer.Begun() {
+		writer.Abort()
+		return
+	}
+	r.refuse(req, writer, NewRefusal(ReasonNoUsableResponse))
+}
+
 // MaxBodyBytes returns the configured size limit of a request's body, or 0 for none.
 func (r *Relay) MaxBodyBytes() int64 {
 	if config := r.cfg.Views.View().Config; config != nil {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -175,6 +175,8 @@
 	WriteHeader(status int, header http.Header)
 	// WriteChunk writes a part of the body and flushes it.
 	WriteChunk(p []byte) error
+	// Begun reports whether any part of a response was written.
+	Begun() bool
 	// Abort closes the connection, so that the caller can tell that the response
 	// is incomplete.
 	Abort()
