A target that breaks off its large answers is blamed for that

What callers saw: answers of more than 1 MiB that break off, again and again from the same target. Each was cut at the caller too, so none looked whole; but the target was never avoided.

Cause: an answer that is passed on as it comes counted as served, however it ended.

Change: an end that the target brought about is handled like that of any other broken answer; one that the caller brought about is not held against the target, as before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -334,7 +334,7 @@
 		dest.End(placement.Failed)
 		return resultFailed, ReasonNoUsableResponse
 	case full, len(body) > maxBufferedBytes:
-		j.relayLargeResponse(dest, resp, body)
+		j.relayLargeResponse(ctx, dest, resp, body)
 		return resultFinal, ""
 	}
 	dest.End(placement.Served)
@@ -367,27 +367,42 @@
 
 // relayLargeResponse streams a response that is not buffered whole to the caller as it
 // arrives, beginning with the prefix already read.
-func (j *job) relayLargeResponse(dest destination, resp *Response, prefix []byte) {
+func (j *job) relayLargeResponse(ctx context.Context, dest destination, resp *Response, prefix []byte) {
 	j.responseStarted = true
 	j.writer.WriteHeader(resp.Status, resp.Header)
-	err := j.writer.WriteChunk(prefix)
+	readErr, writeErr := j.relayBody(resp.Body, prefix)
+	switch {
+	case readErr != nil:
+		j.handleBrokenResponse(ctx, dest, readErr)
+		j.writer.Abort()
+	case writeErr != nil:
+		dest.End(placement.Served)
+		j.recordOutcome("broken", dest, zap.Error(writeErr))
+		j.writer.Abort()
+	default:
+		dest.End(placement.Served)
+		j.recordOutcome("done", dest, zap.Int("status", resp.Status))
+	}
+}
+
+// relayBody sends a prefix and the rest of a body to the caller. It returns the error of reading
+// or that of writing; both are nil at the end of the body.
+func (j *job) relayBody(body io.Reader, prefix []byte) (readErr, writeErr error) {
+	writeErr = j.writer.WriteChunk(prefix)
 	buf := make([]byte, chunkBytes)
-	for err == nil {
-		var n int
-		n, err = resp.Body.Read(buf)
+	for writeErr == nil {
+		n, err := body.Read(buf)
 		if n > 0 {
-			if sendErr := j.writer.WriteChunk(buf[:n]); sendErr != nil {
-				err = sendErr
-			}
+			writeErr = j.writer.WriteChunk(buf[:n])
+		}
+		if errors.Is(err, io.EOF) {
+			return nil, writeErr
+		}
+		if err != nil {
+			return err, writeErr
 		}
 	}
-	dest.End(placement.Served)
-	if !errors.Is(err, io.EOF) {
-		j.recordOutcome("broken", dest, zap.Error(err))
-		j.writer.Abort()
-		return
-	}
-	j.recordOutcome("done", dest, zap.Int("status", resp.Status))
+	return nil, writeErr
 }
 
 // handleBrokenResponse handles a response that ended prematurely.
