--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -34,7 +34,7 @@
 
 // Error implements error.
 func (e *Error) Error() string {
-	return fmt.Sprintf("no sound response was received, so the request may have run; check the sender: %s: %q", e.Reason, e.Line)
+	return fmt.Sprintf("response is malformed, check the sender: %s: %q", e.Reason, e.Line)
 }
 
 func newError(reason Reason, line string) *Error {
