A broken answer does not look whole to a caller of HTTP/1.0

What callers of HTTP/1.0 saw: a stream, or a large answer, that broke off ended like a whole one.

Cause: an answer to such a caller has no chunks and ends with its connection, and the host ended the connection in order after a broken one too.

Evidence, on the code before: TestBrokenStreamDoesNotLookWholeToAnOldCaller, one event of eight and an ordinary end.

Change: the connection of such a caller is reset when its answer is not whole. That of others ends as before: the last chunk is missing. plantainrun serve is not concerned: its streams end with [DONE].

--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -144,6 +144,28 @@
 	c.enterLocked(phaseIdle)
 }
 
+// Abort ends the response of a request before it is whole, and its connection. It panics with
+// http.ErrAbortHandler. The connection of a caller of HTTP/1.0 is reset: an ordinary end would
+// complete the response.
+func Abort(r *http.Request) {
+	conn, ok := r.Context().Value(connKey{}).(*callerConn)
+	if ok && !r.ProtoAtLeast(1, 1) {
+		conn.resetOnClose()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetOnClose makes closing the connection reset it.
+func (c *callerConn) resetOnClose() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if err := tcp.SetLinger(0); err != nil {
+		logx.Infof("connection of a broken response could not be reset: %v", err) // it has ended meanwhile
+	}
+}
+
 // Write tells how long the caller takes to read.
 func (c *callerConn) Write(p []byte) (int, error) {
 	before := c.enter(phaseSending)
