An answer that ends before its request was sent is believed once it has been sent

What callers may see: a target answers without a length, closes the connection with nothing unread, and more of the request is on its way: the end comes in order, the reset follows it. The caller gets the part as whole.

Cause: the connection asked the kernel, at the end, whether the other side had ended in order. At that moment it has; and between two writes it did not ask at all.

Change: the end of an answer without a length waits until its request has been sent whole. A write that fails meanwhile makes it a reset; closing the connection, as when the caller leaves, ends the wait.

--- a/internal/engine/endpoint.go
+++ b/internal/engine/endpoint.go
@@ -175,7 +175,7 @@
 	writes := c.writesStarted
 	c.mu.Unlock()
 	if firstClose {
-		c.Conn.Close()
+		_ = c.Conn.Close() // nothing is sent or read on it any more
 		c.endpoint.untrack(c)
 	}
 	return writes
--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -48,6 +48,7 @@
 	partial  []byte // of a line that has not been read whole
 	started  bool   // the status line has been read
 	err      error  // of a malformed line; what follows it belongs to no response
+	endless  bool   // the body ends with the connection
 	statusLine
 	framing
 }
@@ -83,7 +84,7 @@
 	case h.ambiguous(h.statusLine):
 		err = newError(ReasonFraming, "")
 	default:
-		*h = head{expected: interim(h.status)}
+		*h = head{expected: interim(h.status), endless: h.endsWithConnection(h.statusLine)}
 	}
 	return err
 }
@@ -151,6 +152,11 @@
 	return f.encoded && (f.measured || s.minor == 0)
 }
 
+// endsWithConnection reports whether nothing tells the length of the body.
+func (f framing) endsWithConnection(s statusLine) bool {
+	return s.status != http.StatusNoContent && s.status != http.StatusNotModified && !f.encoded && !f.measured
+}
+
 // statusDigits is the length of a status.
 const statusDigits = 3
 
--- a/internal/httpwire/head_test.go
+++ b/internal/httpwire/head_test.go
@@ -29,7 +29,8 @@
 	conn := httpwire.Wrap(near)
 	reader := bufio.NewReader(conn)
 	for range count {
-		conn.ExpectResponse()
+		conn.BeginRequest()
+		conn.EndRequest()
 		resp, err := http.ReadResponse(reader, nil)
 		for err == nil && resp.StatusCode < http.StatusOK {
 			resp, err = http.ReadResponse(reader, nil) // after an interim one
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 )
 
 // DialFunc opens a connection; it has the signature of net.Dialer.DialContext.
@@ -25,14 +26,27 @@
 // connections of this package, or ones that embed them.
 type Transport struct{ *http.Transport }
 
-// RoundTrip implements http.RoundTripper. The error for a malformed head wraps an *Error.
-func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: expectResponse}
-	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+// requestConn is a Conn, or a connection that embeds one.
+type requestConn interface {
+	BeginRequest()
+	EndRequest()
 }
 
-func expectResponse(info httptrace.GotConnInfo) {
-	if conn, ok := info.Conn.(interface{ ExpectResponse() }); ok {
-		conn.ExpectResponse()
+// RoundTrip implements http.RoundTripper. The error for a malformed head wraps an *Error.
+func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var conn atomic.Pointer[requestConn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(requestConn); ok {
+				conn.Store(&c)
+				c.BeginRequest()
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if c := conn.Load(); c != nil {
+				(*c).EndRequest()
+			}
+		},
 	}
+	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 }
