--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -84,7 +84,7 @@
 	if malformed := c.head.check(p[:n]); malformed != nil {
 		return 0, malformed
 	}
-	if errors.Is(err, io.EOF) && c.head.endless && !c.awaitSent() {
+	if errors.Is(err, io.EOF) && c.head.closeDelimited && !c.awaitSent() {
 		return n, ErrReset
 	}
 	return n, err
--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -48,9 +48,10 @@
 	partial  []byte // of a line that has not been read whole
 	started  bool   // the status line has been read
 	err      error  // of a malformed line; what follows it belongs to no response
-	endless  bool   // the body ends with the connection
 	statusLine
 	framing
+
+	closeDelimited bool // the head has been read, and the body ends with the connection
 }
 
 // check checks what is read next. After an error it returns the same one again: a reader of lines
@@ -84,7 +85,7 @@
 	case h.ambiguous(h.statusLine):
 		err = newError(ReasonFraming, "")
 	default:
-		*h = head{expected: interim(h.status), endless: h.endsWithConnection(h.statusLine)}
+		*h = head{expected: interim(h.status), closeDelimited: h.delimitedByClose(h.statusLine)}
 	}
 	return err
 }
@@ -152,8 +153,8 @@
 	return f.encoded && (f.measured || s.minor == 0)
 }
 
-// endsWithConnection reports whether nothing tells the length of the body.
-func (f framing) endsWithConnection(s statusLine) bool {
+// delimitedByClose reports whether only the end of the connection tells where the body ends.
+func (f framing) delimitedByClose(s statusLine) bool {
 	return s.status != http.StatusNoContent && s.status != http.StatusNotModified && !f.encoded && !f.measured
 }
 
