Log lines of attempts tell a refusal from a failure with its status

So the logs could not tell whether a target had refused a request, or had failed it with the status of a refusal.

Each line of an ended attempt with a response now has the status, states_not_run (the target says that it did not run the request) and signed; answers after the first event have a line.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -277,17 +277,17 @@
 	switch {
 	case resp.Misdirected:
 		placed.End(placement.Misdirected)
-		j.recordOutcome("misdirected", j.at(placed))
+		j.recordOutcome("misdirected", j.at(placed), resp.logFields()...)
 		return resultNotExecuted, ReasonNoTarget
 	case resp.NotExecuted:
 		j.recordRefusal(placed, resp)
-		j.recordOutcome("not_run", j.at(placed), zap.Int("status", resp.Status), zap.Duration("retry_after", resp.RetryAfter))
+		j.recordOutcome("not_run", j.at(placed), append(resp.logFields(), zap.Duration("retry_after", resp.RetryAfter))...)
 		return resultNotExecuted, ReasonTargetsBusy
 	}
 	j.possibleExecutions++
 	if !resp.Authentic {
 		placed.End(placement.Failed)
-		j.recordOutcome("not_authentic", j.at(placed), zap.Int("status", resp.Status))
+		j.recordOutcome("not_authentic", j.at(placed), resp.logFields()...)
 		return resultUnknown, ReasonNoUsableResponse
 	}
 	if resp.Stream && resp.Status == http.StatusOK {
@@ -332,6 +332,7 @@
 		return j.handleBrokenResponse(ctx, dest, errFailureTooLarge)
 	case j.responseStarted:
 		dest.End(placement.Failed)
+		j.recordOutcome("failed", dest, resp.logFields()...)
 		return resultFailed, ReasonNoUsableResponse
 	case full, len(body) > maxBufferedBytes:
 		j.relayLargeResponse(ctx, dest, resp, body)
@@ -340,7 +341,7 @@
 	dest.End(placement.Served)
 	j.recordAnswer(dest)
 	j.logLateness(time.Since(j.req.Arrived))
-	j.recordOutcome("done", dest, zap.Int("status", resp.Status))
+	j.recordOutcome("done", dest, resp.logFields()...)
 	j.writer.WriteResponse(resp.Status, resp.Header, body)
 	return resultFinal, ""
 }
@@ -348,7 +349,7 @@
 // handleFailure keeps the response of a target that failed. A 503 is not relayed:
 // it would tell the caller that the request was not executed, but it was.
 func (j *job) handleFailure(dest destination, failure *bufferedResponse) (attemptResult, Reason) {
-	j.recordOutcome("failed", dest, zap.Int("status", failure.response.Status))
+	j.recordOutcome("failed", dest, failure.response.logFields()...)
 	if failure.response.Status == http.StatusServiceUnavailable {
 		failure.held.Release()
 		return resultFailed, ReasonNoUsableResponse
@@ -381,7 +382,7 @@
 		j.writer.Abort()
 	default:
 		dest.End(placement.Served)
-		j.recordOutcome("done", dest, zap.Int("status", resp.Status))
+		j.recordOutcome("done", dest, resp.logFields()...)
 	}
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/placement"
 )
@@ -106,6 +108,11 @@
 // Refused reports whether the target says that it did not run the request.
 func (r *Response) Refused() bool { return r.NotExecuted || r.Misdirected }
 
+// logFields tells in a log line whether the response is a refusal or has only the status of one.
+func (r *Response) logFields() []zap.Field {
+	return []zap.Field{zap.Int("status", r.Status), zap.Bool("states_not_run", r.NotExecuted), zap.Bool("signed", r.Authentic)}
+}
+
 // SendError is the error of an attempt that got no usable response.
 type SendError struct {
 	// MaybeSent means that the request may have reached the target.
