The status of a target alone tells no caller that its request did not run

Cause: lists of statuses, one for each place. Every status under 500 was passed on as the outcome of a run; the check that a 503 is not passed on stood in the branch for 500 and above and knew that one only. That the target did not state that the request had not run was read nowhere. Ruled out by the fields states_not_run and signed of the log lines: a statement that was taken from elsewhere.

Change: coord/outcome OfResponse is the one rule for a status with and without the target's statement. The relay applies it to each response of a target, and to each that another host passes on, before it looks at body or size. Without the statement a 408, 421, 429 or 503 is a failure with an unknown outcome: 502, without the target's Retry-After, or the next target if the request may be repeated. The check on 503 alone is gone.

Why it works: the rule does not ask where a response comes from or how large it is, so that there is no branch in which a status could pass without it.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/plantainrun/plantainrun/coord/outcome"
 	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/membudget"
 	"github.com/plantainrun/plantainrun/internal/placement"
@@ -248,15 +249,15 @@
 func (j *job) handleSendError(ctx context.Context, placed *placement.Placement, err error) (attemptResult, Reason) {
 	var sendErr *SendError
 	sent := !errors.As(err, &sendErr) || sendErr.MaybeSent
-	outcome := "not_sent"
+	label := "not_sent"
 	if sent {
-		outcome = "unknown"
+		label = "unknown"
 		j.possibleArrivals++
 		j.possibleExecutions++
 	} else {
 		j.recordUnsent(placed.Primary.ID)
 	}
-	j.recordOutcome(outcome, j.at(placed), j.brokenAttemptFields(err)...)
+	j.recordOutcome(label, j.at(placed), j.brokenAttemptFields(err)...)
 	if ctx.Err() != nil {
 		placed.End(placement.Abandoned)
 		return resultUnknown, ReasonTimeout
@@ -290,10 +291,28 @@
 		j.recordOutcome("not_authentic", j.at(placed), resp.logFields()...)
 		return resultUnknown, ReasonNoUsableResponse
 	}
-	if resp.Stream && resp.Status == http.StatusOK {
-		return j.relayStream(ctx, j.at(placed), resp, watchdog)
+	return j.relayAnswer(ctx, j.at(placed), resp, watchdog)
+}
+
+// relayAnswer relays the response to a request that may have been executed, or returns
+// why another attempt is needed.
+func (j *job) relayAnswer(ctx context.Context, dest destination, resp *Response, watchdog *watchdog) (attemptResult, Reason) {
+	switch {
+	case resp.outcome() == outcome.Unknown:
+		return j.rejectAnswer(dest, resp)
+	case resp.Stream && resp.Status == http.StatusOK:
+		return j.relayStream(ctx, dest, resp, watchdog)
 	}
-	return j.relayResponse(ctx, j.at(placed), resp)
+	return j.relayResponse(ctx, dest, resp)
+}
+
+// rejectAnswer handles a response whose status would tell the caller that the request was
+// not executed, which nobody states. Nothing of it reaches the caller, so its body is not
+// waited for.
+func (j *job) rejectAnswer(dest destination, resp *Response) (attemptResult, Reason) {
+	dest.End(placement.Failed)
+	j.recordOutcome("unstated", dest, resp.logFields()...)
+	return resultUnknown, ReasonNoUsableResponse
 }
 
 // recordRefusal records a refusal against the engine that caused it, which may be
@@ -346,14 +365,9 @@
 	return resultFinal, ""
 }
 
-// handleFailure keeps the response of a target that failed. A 503 is not relayed:
-// it would tell the caller that the request was not executed, but it was.
+// handleFailure keeps the response of a target that failed.
 func (j *job) handleFailure(dest destination, failure *bufferedResponse) (attemptResult, Reason) {
 	j.recordOutcome("failed", dest, failure.response.logFields()...)
-	if failure.response.Status == http.StatusServiceUnavailable {
-		failure.held.Release()
-		return resultFailed, ReasonNoUsableResponse
-	}
 	j.releaseLastFailure()
 	j.lastFailure = failure
 	return resultFailed, ReasonNoUsableResponse
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"slices"
 	"time"
 
@@ -99,11 +98,7 @@
 	j.attempts++
 	j.possibleArrivals++
 	j.possibleExecutions++
-	host := forwardedTo{relay: j.relay, host: out.Host}
-	if out.Response.Stream && out.Response.Status == http.StatusOK {
-		return j.relayStream(ctx, host, out.Response, watchdog)
-	}
-	return j.relayResponse(ctx, host, out.Response)
+	return j.relayAnswer(ctx, forwardedTo{relay: j.relay, host: out.Host}, out.Response, watchdog)
 }
 
 func (j *job) forwardCall() ForwardCall {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/plantainrun/plantainrun/coord/outcome"
 	"github.com/plantainrun/plantainrun/internal/catalog"
 	"github.com/plantainrun/plantainrun/internal/placement"
 )
@@ -108,6 +109,9 @@
 // Refused reports whether the target says that it did not run the request.
 func (r *Response) Refused() bool { return r.NotExecuted || r.Misdirected }
 
+// outcome returns what the response says of the attempt.
+func (r *Response) outcome() outcome.Outcome { return outcome.OfResponse(r.Status, r.Refused()) }
+
 // logFields tells in a log line whether the response is a refusal or has only the status of one.
 func (r *Response) logFields() []zap.Field {
 	return []zap.Field{zap.Int("status", r.Status), zap.Bool("states_not_run", r.NotExecuted), zap.Bool("signed", r.Authentic)}
