A signed 421 without a statement does not tell that the order did not run

What callers saw: an order, or a stream that may not be repeated, ran at two targets (TWICE), or was answered 503 though it had run, where a target ran it and gave its signed answer the status 421 without stating that it had not run it.

Cause: 421 alone was believed whoever sent it, since another process at a target's address answers so without statement, signature or id.

Change: 421 alone counts as a refusal unless the target signs the answer. Signed, it needs the statement like 408, 429 and 503.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -276,11 +276,11 @@
 func (j *job) handleResponse(ctx context.Context, placed *placement.Placement, resp *Response, watchdog *watchdog) (attemptResult, Reason) {
 	j.possibleArrivals++
 	switch {
-	case resp.Misdirected:
+	case resp.Refused() && resp.Misdirected:
 		placed.End(placement.Misdirected)
 		j.recordOutcome("misdirected", j.at(placed), resp.logFields()...)
 		return resultNotExecuted, ReasonNoTarget
-	case resp.NotExecuted:
+	case resp.Refused():
 		j.recordRefusal(placed, resp)
 		j.recordOutcome("not_run", j.at(placed), append(resp.logFields(), zap.Duration("retry_after", resp.RetryAfter))...)
 		return resultNotExecuted, ReasonTargetsBusy
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -193,7 +193,7 @@
 		<-ctx.Done()
 		return nil, &relay.SendError{MaybeSent: true, Cause: ctx.Err()}
 	}
-	a := &relay.Response{Status: s.status, Header: http.Header{"X-From": {call.Target.ID}}, Authentic: !s.unsigned, NotExecuted: s.refused, Leaving: s.leaving}
+	a := &relay.Response{Status: s.status, Header: http.Header{"X-From": {call.Target.ID}}, Authentic: !s.unsigned, NotExecuted: s.refused, Misdirected: s.status == http.StatusMisdirectedRequest, Leaving: s.leaving}
 	a.Body = io.NopCloser(strings.NewReader(s.body))
 	if s.rawStream != "" {
 		a.Stream = true
--- a/internal/relay/refusal_status_test.go
+++ b/internal/relay/refusal_status_test.go
@@ -18,7 +18,7 @@
 )
 
 // promisingStatuses tell a caller that its request was not run.
-var promisingStatuses = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+var promisingStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
 // failedBodies are bodies of failures, by their size.
 var failedBodies = map[string]string{"empty": "", "small": "failed after the run", "large": strings.Repeat("x", 2<<20)}
@@ -130,6 +130,12 @@
 			})
 		})
 	}
+	t.Run("another process at the address", func(t *testing.T) {
+		inVirtualTime(t, func(g *WithT, ctx context.Context) {
+			w := newHarness(inSequence(behaviour{status: http.StatusMisdirectedRequest, unsigned: true}, success))
+			g.Expect(w.serve(ctx, relay.Request{URI: "/order/1"}).status).To(Equal(http.StatusOK), "421 states as much, unless the target signs it")
+		})
+	})
 	for _, status := range []int{http.StatusBadRequest, http.StatusNotFound, http.StatusConflict, http.StatusTooEarly, http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout} {
 		for _, forwards := range []bool{false, true} {
 			t.Run(fmt.Sprintf("failure with %d, forwards %t", status, forwards), func(t *testing.T) {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -90,7 +90,8 @@
 	Authentic bool
 	// NotExecuted means that the target declares it did not execute the request.
 	NotExecuted bool
-	// Misdirected means that another process now uses the target's address.
+	// Misdirected means that the status tells that another process now uses the target's
+	// address.
 	Misdirected bool
 	Stream      bool // the body is an event stream
 	// FaultAddr is the address of the engine that caused the refusal, which may be
@@ -106,8 +107,9 @@
 	Body       io.ReadCloser
 }
 
-// Refused reports whether the target says that it did not run the request.
-func (r *Response) Refused() bool { return r.NotExecuted || r.Misdirected }
+// Refused reports whether the target says that it did not run the request. Another process at
+// the target's address says so by its status alone, which it does not sign.
+func (r *Response) Refused() bool { return r.NotExecuted || (r.Misdirected && !r.Authentic) }
 
 // outcome returns what the response says of the attempt.
 func (r *Response) outcome() outcome.Outcome { return outcome.OfResponse(r.Status, r.Refused()) }
