--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -100,7 +100,16 @@
 )
 
 func newFakeSource() *fakeSource {
-	routes := []catalog.Route{
+	services := []catalog.Service{{Name: "orders"}, {Name: "llm", Engine: &engineModel}}
+	holders := []catalog.KeyHolder{{Organisation: catalog.Organisation{Name: "school"}, Keys: []string{validKey}}}
+	s := &fakeSource{config: catalog.NewConfig(3, catalog.Limits{BodyBytes: 1 << 20}, newRoutes(), services, holders)}
+	s.grow(5)
+	return s
+}
+
+// newRoutes returns one route of each kind.
+func newRoutes() []catalog.Route {
+	return []catalog.Route{
 		{Name: "order", Host: "shop", PathPrefix: "/order/", Kind: catalog.NonIdempotent, Backends: []catalog.Backend{{Service: "orders", Weight: 1}}, Timeout: routeTimeout, MaxAttempts: 2},
 		{Name: "status", Host: "shop", PathPrefix: "/status/", Kind: catalog.Idempotent, Backends: []catalog.Backend{{Service: "orders", Weight: 1}}, Timeout: routeTimeout, MaxAttempts: 2},
 		{Name: "chat", Host: "shop", PathPrefix: "/chat/", Kind: catalog.Streaming, Resumable: true, Backends: []catalog.Backend{{Service: "llm", Weight: 1}}, Timeout: routeTimeout, MaxAttempts: 3, Objective: 300 * time.Millisecond, MaxEventGap: 250 * time.Millisecond},
@@ -108,11 +117,6 @@
 		{Name: "patient", Host: "shop", PathPrefix: "/patient/", Kind: catalog.Streaming, Resumable: true, Backends: []catalog.Backend{{Service: "llm", Weight: 1}}, Timeout: 15 * time.Second, MaxAttempts: 3, Objective: 3 * time.Second},
 		{Name: "open", Host: "shop", PathPrefix: "/open/", Kind: catalog.Idempotent, Public: true, Backends: []catalog.Backend{{Service: "orders", Weight: 1}}, Timeout: routeTimeout, MaxAttempts: 1},
 	}
-	services := []catalog.Service{{Name: "orders"}, {Name: "llm", Engine: &engineModel}}
-	holders := []catalog.KeyHolder{{Organisation: catalog.Organisation{Name: "school"}, Keys: []string{validKey}}}
-	s := &fakeSource{config: catalog.NewConfig(3, catalog.Limits{BodyBytes: 1 << 20}, routes, services, holders)}
-	s.grow(5)
-	return s
 }
 
 // grow gives each service the given number of targets.
@@ -383,12 +387,18 @@
 
 // start creates the relay of a harness that has a view.
 func (w *harness) start(transport relay.Transport, f relay.Forwarder, regionOf map[string]string) {
-	w.budget, w.placer = &fakeRetryBudget{left: 100}, placement.NewPlacer(time.Now, 1)
+	w.budget = &fakeRetryBudget{left: 100}
+	w.startWithBudget(transport, w.budget, f, regionOf)
+}
+
+// startWithBudget is start with another retry budget.
+func (w *harness) startWithBudget(transport relay.Transport, budget relay.RetryBudget, f relay.Forwarder, regionOf map[string]string) {
+	w.placer = placement.NewPlacer(time.Now, 1)
 	if w.log == nil {
 		w.log = zap.NewNop()
 	}
 	w.relay = relay.New(relay.Config{
-		Views: w.views, Placer: w.placer, Transport: transport, RetryBudget: w.budget, Forwarder: f,
+		Views: w.views, Placer: w.placer, Transport: transport, RetryBudget: budget, Forwarder: f,
 		Observer: noopObserver{}, Peers: noopObserver{}, Log: w.log, HostID: "host", Regions: regionOf,
 		MinContendedObjective: w.minContendedObjective, Memory: w.memory,
 		Settings: relay.Settings{MaxViewAge: 4 * time.Second, ReservationLease: reservationLease, MaxIdleReservation: maxIdleReservation * 4 / 5},
