A success that states that the request did not run is no refusal

What callers could see: an order that a target answered with a success, and stated that it had not run it, was sent to the next target. One of the two is untrue; if it is the statement, the order ran twice.

Change: the statement counts with a status of 400 and above; with any other the request may have run, and nothing of the answer is passed on.

--- a/coord/outcome/response.go
+++ b/coord/outcome/response.go
@@ -17,9 +17,12 @@
 // OfResponse returns the outcome of an attempt that got a complete response with an HTTP
 // status. statesNotRun is set if the target states, besides the status, that it did not
 // run the call. Without that statement a status that promises as much proves nothing: the
-// target may have run the call and failed later.
+// target may have run the call and failed later. Nor does the statement prove anything
+// where the status contradicts it.
 func OfResponse(status int, statesNotRun bool) Outcome {
 	switch {
+	case statesNotRun && status < http.StatusBadRequest:
+		return Unknown
 	case statesNotRun:
 		return NotRun
 	case PromisesNotRun(status):
--- a/internal/relay/refusal_status_test.go
+++ b/internal/relay/refusal_status_test.go
@@ -190,3 +190,20 @@
 		})
 	}
 }
+
+// Guards against believing a target that states that it did not run a request and answers it with
+// a success: the order would run at the next target as well.
+func TestSuccessThatStatesThatItDidNotRunIsNoRefusal(t *testing.T) {
+	for _, path := range []string{"/order/1", "/once/1"} {
+		for _, status := range []int{http.StatusOK, http.StatusCreated, http.StatusNoContent, http.StatusFound} {
+			t.Run(fmt.Sprintf("%s, %d", path, status), func(t *testing.T) {
+				inVirtualTime(t, func(g *WithT, ctx context.Context) {
+					w := newHarness(inSequence(behaviour{status: status, refused: true, body: "done"}, success))
+					r := w.serve(ctx, relay.Request{URI: path})
+					g.Expect(w.transport.sends).To(Equal(1))
+					g.Expect(r.refusal.Status).To(Equal(http.StatusBadGateway))
+				})
+			})
+		}
+	}
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -107,12 +107,14 @@
 	Body       io.ReadCloser
 }
 
-// Refused reports whether the target says that it did not run the request. Another process at
-// the target's address says so by its status alone, which it does not sign.
-func (r *Response) Refused() bool { return r.NotExecuted || (r.Misdirected && !r.Authentic) }
+// Refused reports whether the request did not run, as the target says.
+func (r *Response) Refused() bool { return r.outcome() == outcome.NotRun }
 
-// outcome returns what the response says of the attempt.
-func (r *Response) outcome() outcome.Outcome { return outcome.OfResponse(r.Status, r.Refused()) }
+// outcome returns what the response says of the attempt. Another process at the target's address
+// states by its status alone that it did not run the request, and does not sign that.
+func (r *Response) outcome() outcome.Outcome {
+	return outcome.OfResponse(r.Status, r.NotExecuted || (r.Misdirected && !r.Authentic))
+}
 
 // logFields tells in a log line whether the response is a refusal or has only the status of one.
 func (r *Response) logFields() []zap.Field {
