The status of a service alone tells no caller of serve that its call was not run

What callers of /v1/services saw: a call that a service had run and answered with 408, 421, 429 or 503, without X-Not-Run, came back with that status, and again whenever it was repeated with its ticket. A caller that takes it at its word takes a new ticket, and the call runs twice.

A call with such a status is unknown: 502 target_outcome_unknown, recorded so in the ledger. A record of an older host and an answer that it passes on are judged by the same rule when they are read. A service that deduplicates is sent the call again, a repeatable call goes to another target. X-Not-Run beside a success counts as unknown too.

What a service loses: its own 429 without X-Not-Run does not reach callers any more, see docs/TARGETS.md.

--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -205,3 +205,24 @@
 	}
 	g.Expect(crashes).To(gomega.BeNumerically("<=", 2))
 }
+
+// Guards against a caller that is told by the status of a service that its call was not run, and
+// takes a new ticket: through the owner of the ticket and another host, at once and when it repeats the call.
+func TestStatusOfAServiceAloneTellsNoCallerThatItsCallWasNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(t, 2, 1)
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		setControl(t, c.services[0], service.Control{Fault: service.FaultServerError, Status: status})
+		for _, first := range c.hosts {
+			ticket := newTicket(t, c.hosts[0], "seat 1")
+			for _, h := range []*host{first, c.hosts[0], c.hosts[1]} {
+				r, err := callReservations(h, ticket, "seat 1")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(r.status).To(gomega.Equal(http.StatusBadGateway), "%d: %s", status, r.body)
+				g.Expect(r.err.Run).To(gomega.Equal("unknown"))
+				g.Expect(r.header).NotTo(gomega.HaveKey("Retry-After"))
+			}
+			g.Expect(runCount(t, c.services[0], ticket)).To(gomega.Equal(1))
+		}
+	}
+}
--- a/internal/forward/calls.go
+++ b/internal/forward/calls.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 
 	"github.com/plantainrun/plantainrun/coord/identity"
-	"github.com/plantainrun/plantainrun/coord/outcome"
 	"github.com/plantainrun/plantainrun/internal/forward/forwardpb"
 	"github.com/plantainrun/plantainrun/internal/httpwire"
 	"github.com/plantainrun/plantainrun/internal/mesh"
@@ -90,11 +88,7 @@
 	if err := httpwire.CheckHead(status, header); err != nil {
 		return once.Response{}, &once.OwnerUnavailableError{MaybeSent: true, Err: err}
 	}
-	result := outcome.Done
-	if status >= http.StatusInternalServerError {
-		result = outcome.Failed
-	}
-	return once.Response{Outcome: result, Status: status, Header: header, Body: reply.GetBody()}, nil
+	return once.ResponseOf(status, header, reply.GetBody())
 }
 
 func serveCall(ctx context.Context, s *mesh.Stream, owner Owner) error {
--- a/internal/forward/calls_test.go
+++ b/internal/forward/calls_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainrun/plantainrun/coord/outcome"
+	"github.com/plantainrun/plantainrun/internal/apierror"
 	"github.com/plantainrun/plantainrun/internal/forward/forwardpb"
 	"github.com/plantainrun/plantainrun/internal/once"
 )
@@ -32,3 +35,18 @@
 		})
 	}
 }
+
+// Guards against passing on what the owner of a ticket, maybe of an older version, took for the
+// answer of a run: its status would tell the caller that the call was not run.
+func TestAnswerOfAnOwnerWithTheStatusOfARefusalIsNoPromise(t *testing.T) {
+	for _, status := range []int32{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			g := NewWithT(t)
+			response, err := decodeResponse(&forwardpb.ServiceAnswer{Status: status})
+			var e *apierror.Error
+			g.Expect(errors.As(err, &e)).To(BeTrue(), "%+v, %v", response, err)
+			g.Expect(e.Kind).To(Equal(apierror.KindTargetOutcomeUnknown))
+			g.Expect(e.Outcome).To(Equal(outcome.Unknown))
+		})
+	}
+}
--- a/internal/idempotent/idempotent_test.go
+++ b/internal/idempotent/idempotent_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/onsi/gomega"
 	"github.com/zeromicro/go-zero/core/logx"
 
+	"github.com/plantainrun/plantainrun/coord/outcome"
 	"github.com/plantainrun/plantainrun/coord/retry"
 	"github.com/plantainrun/plantainrun/internal/apierror"
 	"github.com/plantainrun/plantainrun/internal/idempotent"
@@ -122,3 +125,28 @@
 	g.Expect(response.Status).To(gomega.Equal(200))
 	g.Expect(p.picks).To(gomega.Equal(2))
 }
+
+// Guards against giving a call up, or telling that it was not run, after a status that tells nothing.
+func TestCallGoesOnAfterAStatusThatTellsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := &roundRobinPicker{next: 1}
+	for i := range 2 {
+		s, addr, stop, err := standin.Listen()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(stop)
+		s.SetFault(standin.Control{Fault: standin.FaultServerError, Status: http.StatusTooManyRequests, Times: 1 + i})
+		p.targets = append(p.targets, topology.Target{ID: fmt.Sprint(i), Addr: addr})
+	}
+	cfg := retry.DefaultConfig()
+	cfg.FillTime = 0 // as after a while
+	budget, err := retry.New(cfg)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	executor := idempotent.New(p, service.New(service.DefaultConfig()), budget)
+	_, err = executor.Execute(t.Context(), datasheetCall(1))
+	var e *apierror.Error
+	g.Expect(errors.As(err, &e)).To(gomega.BeTrue())
+	g.Expect(e.Outcome).To(gomega.Equal(outcome.Unknown))
+	response, err := executor.Execute(t.Context(), datasheetCall(2))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(response.Status).To(gomega.Equal(http.StatusOK))
+}
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +159,49 @@
 		}
 	})
 }
+
+// Guards against telling a caller by the status of a service that its call was not run, in the first
+// answer or in a repeated one, from the owner or from a closed ledger: it would take a new ticket.
+func TestStatusOfAServiceAloneIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			withCluster(t, func(g *gomega.WithT, w *cluster, h *host) {
+				ctx := context.Background()
+				w.targets[0].svc.SetFault(standin.Control{Fault: standin.FaultServerError, Status: status})
+				ticket, err := h.owner.NewTicket()
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				expectUnknown := func(at *host) {
+					response, err := at.router.Execute(ctx, order(ticket, "one"))
+					g.Expect(response.Status).To(gomega.BeZero())
+					e := asAPIError(g, err)
+					g.Expect(e.Kind).To(gomega.Equal(apierror.KindTargetOutcomeUnknown))
+					g.Expect(e.Outcome).To(gomega.Equal(outcome.Unknown))
+					g.Expect(e.RetryAfter).To(gomega.BeZero())
+				}
+				expectUnknown(h)
+				expectUnknown(w.hosts[1])
+				g.Expect(w.hosts[1].store.Add(h.owner.Drain(ctx))).To(gomega.Succeed())
+				expectUnknown(w.hosts[1])
+				g.Expect(w.runCount(ticket)).To(gomega.Equal(1))
+			})
+		})
+	}
+}
+
+// A service that deduplicates may be sent the call again after a status that tells nothing.
+func TestCallIsRetriedAfterAStatusThatTellsNothingIfServiceDeduplicates(t *testing.T) {
+	withCluster(t, func(g *gomega.WithT, w *cluster, h *host) {
+		w.targets = append(w.targets, newTarget("b", 2000))
+		for _, target := range w.targets {
+			target.svc.SetFault(standin.Control{Fault: standin.FaultServerError, Status: http.StatusTooManyRequests, Times: 1})
+		}
+		w.targets = append(w.targets, newTarget("c", 3000))
+		ticket, err := h.owner.NewTicket()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		call := order(ticket, "one")
+		call.Dedupes = true
+		response, err := h.router.Execute(context.Background(), call)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(response.Status).To(gomega.Equal(http.StatusCreated))
+	})
+}
--- a/internal/once/replies.go
+++ b/internal/once/replies.go
@@ -76,7 +76,17 @@
 }
 
 func unknownOutcomeError(reason service.Reason) *apierror.Error {
-	return apierror.New(apierror.KindTargetOutcomeUnknown, outcome.Unknown, remedyCheckRecords, "the call was sent and no whole answer came back (%s): whether it ran is not known", reason)
+	return apierror.New(apierror.KindTargetOutcomeUnknown, outcome.Unknown, remedyCheckRecords, "the call was sent and no answer tells whether it ran (%s)", reason)
+}
+
+// ResponseOf returns the response for the caller from one that an owner passes on, or the error of
+// a call of which its status does not tell whether it ran.
+func ResponseOf(status int, header http.Header, body []byte) (Response, error) {
+	result := outcome.OfResponse(status, false)
+	if result == outcome.Unknown {
+		return Response{}, unknownOutcomeError(service.ReasonUnstated)
+	}
+	return Response{Outcome: result, Status: status, Header: header, Body: body}, nil
 }
 
 func responseDroppedError(r ledger.Record) *apierror.Error {
@@ -113,11 +123,13 @@
 	if r.ResponseDropped {
 		return Response{}, responseDroppedError(r)
 	}
-	response := Response{Outcome: r.Outcome, Status: r.Status, Body: r.Body, Header: make(http.Header), Replayed: true}
+	header := make(http.Header)
 	for _, f := range r.Header {
-		response.Header.Add(f.Name, f.Value)
+		header.Add(f.Name, f.Value)
 	}
-	return response, nil
+	response, err := ResponseOf(r.Status, header, r.Body)
+	response.Replayed = err == nil
+	return response, err
 }
 
 func unknownReason(r ledger.Record) service.Reason {
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -76,10 +76,16 @@
 		r.Reason, r.Err = ReasonIDMismatch, errIDMismatch
 		return r
 	}
-	if resp.Header.Get(engineapi.HeaderNotRun) == "1" {
-		r.Outcome, r.Reason = outcome.NotRun, ReasonRefused
+	result := outcome.OfResponse(resp.StatusCode, resp.Header.Get(engineapi.HeaderNotRun) == "1")
+	switch result {
+	case outcome.NotRun:
+		r.Outcome, r.Reason = result, ReasonRefused
 		r.Err = fmt.Errorf("the target refused with status %d", resp.StatusCode)
 		return r
+	case outcome.Unknown:
+		r.Reason = ReasonUnstated
+		r.Err = fmt.Errorf("the target answered with status %d: the call may have run", resp.StatusCode)
+		return r
 	}
 	body, err := c.readBody(resp)
 	switch {
@@ -89,7 +95,7 @@
 		r.Reason, r.Err = reasonOrDeadline(ctx, ReasonIncomplete), err
 	default:
 		r.Body = body
-		r.Outcome = outcomeOf(resp.StatusCode)
+		r.Outcome = result
 	}
 	return r
 }
@@ -119,13 +125,6 @@
 	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
 }
 
-func outcomeOf(status int) outcome.Outcome {
-	if status >= http.StatusInternalServerError {
-		return outcome.Failed
-	}
-	return outcome.Done
-}
-
 // reasonOrDeadline returns ReasonDeadline if ctx has ended, and other otherwise.
 func reasonOrDeadline(ctx context.Context, other Reason) Reason {
 	if ctx.Err() != nil {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -39,6 +39,7 @@
 	ReasonHookRefused Reason = "held"      // Call.BeforeWrite refused the first write
 	ReasonDeadline    Reason = "deadline"  // the deadline passed
 	ReasonRefused     Reason = "refused"   // the target reported that it did not run the call
+	ReasonUnstated    Reason = "unstated"  // the status and what the target reports do not tell together whether it ran the call
 	ReasonIDMismatch  Reason = "crossed"   // the response has the id of another request
 	ReasonIncomplete  Reason = "cut"       // the connection or the response ended early
 	ReasonTooLarge    Reason = "too_large" // the response is larger than Config.MaxResponseBytes
--- a/internal/standin/service/response.go
+++ b/internal/standin/service/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -35,7 +36,8 @@
 	case FaultLongBody:
 		response = bytes.Repeat([]byte("x"), LongBodyBytes)
 	case FaultServerError:
-		w.WriteHeader(http.StatusInternalServerError)
+		w.Header().Set("Retry-After", "7")
+		w.WriteHeader(cmp.Or(c.Status, http.StatusInternalServerError))
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -4,6 +4,7 @@
 package service
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -29,7 +30,7 @@
 	FaultWrongID      Fault = "crossed"   // run, then respond with another request's id and body
 	FaultTruncate     Fault = "cut"       // run, then declare the complete body and send half of it
 	FaultHang         Fault = "silent"    // do not run and never respond
-	FaultServerError  Fault = "fail"      // run, then respond with status 500
+	FaultServerError  Fault = "fail"      // run, then respond with Status, or 500
 	FaultLeaving      Fault = "leave"     // do not run; respond with X-Not-Run and X-Leaving
 	FaultSlowRun      Fault = "slow_run"  // wait for DelayMS, then run and respond
 	FaultUnframed     Fault = "unframed"  // run, then send half of the body without a length or chunked encoding
@@ -45,6 +46,7 @@
 	Fault   Fault `json:"fault"`
 	Times   int   `json:"times"`
 	DelayMS int64 `json:"delay_ms"`
+	Status  int   `json:"status"` // of the response, under FaultServerError and FaultRefuse; 0: the usual one
 }
 
 // Counts is the body of GET engineapi.PathStandinControl.
@@ -223,6 +225,6 @@
 		w.Header().Set(engineapi.HeaderLeaving, "1")
 	}
 	w.Header().Set(engineapi.HeaderNotRun, "1")
-	w.WriteHeader(http.StatusServiceUnavailable)
+	w.WriteHeader(cmp.Or(c.Status, http.StatusServiceUnavailable))
 	return true
 }
