An engine's 408, 421 or 429 alone does not tell that a prompt ran and failed

What callers saw: a prompt that one engine turned away with 408, 421 or 429, without saying that it did not run it, failed with run=ran, while after 503 another engine is asked.

Cause: a third list of statuses, in the client of engines: all under 500 were a run that had failed.

Change: it asks coord/outcome. These statuses are unknown, so that another engine gets the prompt within the retry budget. Any other 5xx stays unknown too, other than for services: an intermediary may have given it. The statement beside a 3xx is not believed.

--- a/internal/engine/open.go
+++ b/internal/engine/open.go
@@ -158,13 +158,14 @@
 // refusal. A status of 500 or above may come from an intermediary in front of the
 // engine.
 func refusalOutcome(resp *http.Response) outcome.Outcome {
-	switch {
-	case resp.Header.Get(engineapi.HeaderNotRun) == "1":
-		return outcome.NotRun
-	case resp.StatusCode < http.StatusInternalServerError:
+	result := outcome.OfResponse(resp.StatusCode, resp.Header.Get(engineapi.HeaderNotRun) == "1")
+	switch result {
+	case outcome.Done:
 		return outcome.Failed
-	default:
+	case outcome.Failed:
 		return outcome.Unknown
+	default:
+		return result
 	}
 }
 
