The status of serve's own errors promises no more than their outcome

What callers saw: an error with run=unknown and the status 503 (peer_unreachable, and no_target or overloaded after an attempt that may have run). A client that reads statuses only takes it for a promise that the request was not run.

Cause: a fourth list: the status hung on the kind of the error alone.

Change: 429 and 503 stand beside run=not_run only, otherwise the status is 502. Kind, remedy, Retry-After and run stay as they were.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -77,7 +77,7 @@
 	KindNoTarget:             http.StatusServiceUnavailable,
 	KindNotReady:             http.StatusServiceUnavailable,
 	KindDraining:             http.StatusServiceUnavailable,
-	KindPeerUnreachable:      http.StatusServiceUnavailable,
+	KindPeerUnreachable:      http.StatusBadGateway,
 	KindInternal:             http.StatusInternalServerError,
 }
 
@@ -122,12 +122,17 @@
 	return e.Message + "; " + e.Remedy
 }
 
-// HTTPStatus returns the HTTP status code for the error's kind.
+// HTTPStatus returns the HTTP status code for the error's kind. Where that would promise
+// that the request was not run, and it may have been, it is 502.
 func (e *Error) HTTPStatus() int {
-	if s, ok := statusByKind[e.Kind]; ok {
-		return s
+	status, known := statusByKind[e.Kind]
+	switch {
+	case !known:
+		return http.StatusInternalServerError
+	case outcome.PromisesNotRun(status) && e.Outcome != outcome.NotRun:
+		return http.StatusBadGateway
 	}
-	return http.StatusInternalServerError
+	return status
 }
 
 // From returns the *Error in err's chain. Any other error is converted to
--- a/internal/idempotent/idempotent_test.go
+++ b/internal/idempotent/idempotent_test.go
@@ -146,6 +146,7 @@
 	var e *apierror.Error
 	g.Expect(errors.As(err, &e)).To(gomega.BeTrue())
 	g.Expect(e.Outcome).To(gomega.Equal(outcome.Unknown))
+	g.Expect(outcome.PromisesNotRun(e.HTTPStatus())).To(gomega.BeFalse())
 	response, err := executor.Execute(t.Context(), datasheetCall(2))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(response.Status).To(gomega.Equal(http.StatusOK))
