--- a/internal/relay/refusal_status_test.go
+++ b/internal/relay/refusal_status_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -14,6 +16,7 @@
 
 	"github.com/plantainrun/plantainrun/coord/outcome"
 	"github.com/plantainrun/plantainrun/internal/membudget"
+	"github.com/plantainrun/plantainrun/internal/placement"
 	"github.com/plantainrun/plantainrun/internal/relay"
 )
 
@@ -207,3 +210,40 @@
 		}
 	}
 }
+
+// restingTransport is a transport whose targets ask in each answer for a time without requests, and
+// name a rate limit.
+type restingTransport struct{ *fakeTransport }
+
+func (tr restingTransport) Send(ctx context.Context, call relay.Call) (*relay.Response, error) {
+	resp, err := tr.fakeTransport.Send(ctx, call)
+	if err == nil {
+		resp.RetryAfter, resp.RateLimit = time.Minute, placement.RateLimit{PerSecond: 3, Named: true}
+	}
+	return resp, err
+}
+
+// Guards against leaving a target out for a minute because it limits one caller, and against
+// ignoring what it says of itself: a time without requests belongs to a refusal, a rate limit to any
+// answer.
+func TestAnswerThatIsRejectedAsksForNoRest(t *testing.T) {
+	for _, status := range promisingStatuses {
+		for _, stated := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d, stated %t", status, stated), func(t *testing.T) {
+				inVirtualTime(t, func(g *WithT, ctx context.Context) {
+					tr := restingTransport{&fakeTransport{behaviourOf: always(behaviour{status: status, refused: stated})}}
+					w := newHarnessWithTransport(tr)
+					w.serve(ctx, relay.Request{URI: "/order/1"})
+					for _, target := range w.views.View().Targets("orders") {
+						if !slices.Contains(tr.targets, target.ID) {
+							continue
+						}
+						g.Expect(w.placer.Declines(target)).To(Equal(stated && status != http.StatusMisdirectedRequest))
+						named := slices.ContainsFunc(w.placer.RateLimits(), func(l placement.TargetRateLimit) bool { return l.Target == target.TargetKey })
+						g.Expect(named).To(Equal(status != http.StatusMisdirectedRequest), "421 may come from another process")
+					}
+				})
+			})
+		}
+	}
+}
