--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -310,13 +310,8 @@
 // not executed, which nobody states. Nothing of it reaches the caller, so its body is not
 // waited for.
 func (j *job) rejectAnswer(dest destination, resp *Response) (attemptResult, Reason) {
-	limited := j.limitedAt(dest)
-	j.recordOutcome("unstated", dest, append(resp.logFields(), zap.Bool("caller_limited", limited))...)
-	if limited {
-		dest.End(placement.Served)
-		return resultLimited, ReasonNoUsableResponse
-	}
 	dest.End(placement.Failed)
+	j.recordOutcome("unstated", dest, resp.logFields()...)
 	return resultUnknown, ReasonNoUsableResponse
 }
 
@@ -363,7 +358,6 @@
 		return resultFinal, ""
 	}
 	dest.End(placement.Served)
-	j.recordServed()
 	j.recordAnswer(dest)
 	j.logLateness(time.Since(j.req.Arrived))
 	j.recordOutcome("done", dest, resp.logFields()...)
@@ -402,7 +396,6 @@
 		j.writer.Abort()
 	default:
 		dest.End(placement.Served)
-		j.recordServed()
 		j.recordOutcome("done", dest, resp.logFields()...)
 	}
 }
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -118,7 +118,6 @@
 	resultNotExecuted                      // the target did not execute the request
 	resultUnknown                          // the target may have executed the request but gave no usable response
 	resultFailed                           // the target executed the request and failed
-	resultLimited                          // as resultUnknown, but targets limit the caller, so that no other one is tried
 	resultPostponed                        // nothing was sent; the request may be placed again
 	resultRejected                         // nothing was sent, and no further attempt is allowed
 )
@@ -154,8 +153,6 @@
 		return false
 	case result == resultPostponed:
 		return true
-	case result == resultLimited:
-		return false
 	case result != resultNotExecuted && !j.route.Repeatable():
 		return false
 	case j.possibleExecutions >= j.maxExecutions():
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -123,14 +123,13 @@
 	active   atomic.Int64
 	crashes  *crashTracker
 	parts    *quarantine.Tracker
-	limited  *limitedCallers
 	releases releaseTracker
 	shutdown shutdown
 }
 
 // New returns a Relay that uses the dependencies in cfg.
 func New(cfg Config) *Relay {
-	r := &Relay{cfg: cfg, crashes: newCrashTracker(time.Now), limited: newLimitedCallers()}
+	r := &Relay{cfg: cfg, crashes: newCrashTracker(time.Now)}
 	r.parts = quarantine.New(quarantine.Config{
 		Now: time.Now, Report: cfg.Peers.AnswersReceived, HostCount: cfg.Peers.HostCount, Log: cfg.Log,
 	})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -81,7 +81,6 @@
 		j.recordAnswer(dest)
 	}
 	dest.End(placement.Served)
-	j.recordServed()
 	j.logLateness(j.firstEventAfter)
 	j.recordOutcome("done", dest, zap.String("last_event", j.seq.lastEventID()), zap.Duration("longest_pause", j.longestEventGap))
 	return resultFinal
