Test: the stateful tests draw answers with every status, with and without a statement

The oracle of orders takes 408 and 421 for promises too, beside 429 and 503; targets answer with twelve statuses, stated or not, signed or not. Services of tickets answer 429 after a run.

--- a/internal/once/fuzz_test.go
+++ b/internal/once/fuzz_test.go
@@ -141,7 +141,7 @@
 
 	allFaults = []standin.Fault{
 		standin.FaultNone, standin.FaultRefuse, standin.FaultDisconnect, standin.FaultSlowResponse, standin.FaultWrongID, standin.FaultTruncate,
-		standin.FaultHang, standin.FaultServerError, standin.FaultLeaving, standin.FaultSlowRun, standin.FaultUnframed, standin.FaultLongBody,
+		standin.FaultHang, standin.FaultServerError, standin.FaultUnstated, standin.FaultLeaving, standin.FaultSlowRun, standin.FaultUnframed, standin.FaultLongBody,
 	}
 )
 
@@ -323,6 +323,7 @@
 		{"cut", svc(standin.FaultTruncate), false},
 		{"unframed", svc(standin.FaultUnframed), false},
 		{"silent", svc(standin.FaultHang), false},
+		{"unstated", svc(standin.FaultUnstated), false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -23,9 +24,29 @@
 		success, {notSent: true}, {refused: true, status: 503}, {responseLost: true}, {unsigned: true, status: 200},
 		{status: 500, body: "failed"}, {status: 503, body: "ran"}, {unresponsive: true},
 	}
+	if rapid.Bool().Draw(t, "answers") {
+		return drawAnswer(t)
+	}
 	return rapid.SampledFrom(behaviours).Draw(t, "script")
 }
 
+// drawAnswer draws an answer of a target that ran an attempt, or states that it did not.
+func drawAnswer(t *rapid.T) behaviour {
+	s := behaviour{
+		status:   rapid.SampledFrom([]int{200, 400, 404, 408, 409, 421, 425, 429, 500, 502, 503, 504}).Draw(t, "status"),
+		refused:  rapid.Bool().Draw(t, "states that it did not run"),
+		unsigned: rapid.Bool().Draw(t, "unsigned"),
+		body:     "failed",
+	}
+	if s.status == http.StatusOK {
+		s.body = success.body
+	}
+	return s
+}
+
+// notRunStatuses tell a caller that its request was not executed.
+var notRunStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
 func drawStream(t *rapid.T) behaviour {
 	s := behaviour{status: 200, events: streamEvents, breakAfter: rapid.IntRange(0, streamEvents).Draw(t, "breakAfter"), truncated: rapid.Bool().Draw(t, "torn")}
 	if rapid.IntRange(0, 3).Draw(t, "other") == 0 {
@@ -54,8 +75,7 @@
 			if r.refusal != nil {
 				status = r.refusal.Status
 			}
-			notExecutedStatus := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-			if notExecutedStatus && w.transport.runs > 0 {
+			if slices.Contains(notRunStatuses, status) && w.transport.runs > 0 {
 				rt.Fatalf("responded with %d after the request was executed", status)
 			}
 			if status == http.StatusOK && r.body.String() != "done" {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -165,6 +165,11 @@
 	stalledAfter int    // bytes of a body or event after which the target sends nothing more
 }
 
+// anotherProcess reports whether another process answers at the target's address.
+func (s behaviour) anotherProcess() bool {
+	return s.status == http.StatusMisdirectedRequest && s.unsigned
+}
+
 // fakeTransport simulates targets and records attempts, executions and
 // reservations.
 type fakeTransport struct {
@@ -184,7 +189,7 @@
 	s := tr.behaviourOf(call)
 	tr.sends++
 	tr.targets = append(tr.targets, call.Target.ID)
-	if !s.notSent && !s.refused {
+	if !s.notSent && !s.refused && !s.anotherProcess() {
 		tr.runs++
 	}
 	tr.mu.Unlock()
--- a/internal/standin/service/response.go
+++ b/internal/standin/service/response.go
@@ -35,6 +35,9 @@
 		return
 	case FaultLongBody:
 		response = bytes.Repeat([]byte("x"), LongBodyBytes)
+	case FaultUnstated:
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
 	case FaultServerError:
 		w.Header().Set("Retry-After", "7")
 		w.WriteHeader(cmp.Or(c.Status, http.StatusInternalServerError))
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -31,6 +31,7 @@
 	FaultTruncate     Fault = "cut"       // run, then declare the complete body and send half of it
 	FaultHang         Fault = "silent"    // do not run and never respond
 	FaultServerError  Fault = "fail"      // run, then respond with Status, or 500
+	FaultUnstated     Fault = "unstated"  // run, then respond with status 429
 	FaultLeaving      Fault = "leave"     // do not run; respond with X-Not-Run and X-Leaving
 	FaultSlowRun      Fault = "slow_run"  // wait for DelayMS, then run and respond
 	FaultUnframed     Fault = "unframed"  // run, then send half of the body without a length or chunked encoding
