--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -306,8 +306,9 @@
 	return j.relayResponse(ctx, dest, resp)
 }
 
-// rejectAnswer handles a response whose status would tell the caller that the request was
-// not executed, which nobody states. Nothing of it reaches the caller, so its body is not
+// rejectAnswer handles a response that does not tell whether the request was executed: its
+// status would promise the caller that it was not, which the target does not state, or it
+// contradicts what the target states. Nothing of it reaches the caller, so its body is not
 // waited for.
 func (j *job) rejectAnswer(dest destination, resp *Response) (attemptResult, Reason) {
 	dest.End(placement.Failed)
--- a/internal/standin/service/response.go
+++ b/internal/standin/service/response.go
@@ -39,7 +39,7 @@
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
 	case FaultServerError:
-		w.Header().Set("Retry-After", "7")
+		w.Header().Set("Retry-After", "7") // must not reach callers of a call that may have run
 		w.WriteHeader(cmp.Or(c.Status, http.StatusInternalServerError))
 		return
 	}
