Test: the page of errors has the status of requests that did not run

TestOperationsPageHasAllErrorKinds built errors without an outcome, which counts as unknown; since the status of an error promises no more than its outcome, seven kinds are 502 then, while the table of the page has 503 or 429.

The check takes errors of requests that did not run now, as the table does, and checks beside it that any other outcome gives the same status or 502, and that the page says so.

--- a/internal/config/docs_test.go
+++ b/internal/config/docs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/onsi/gomega"
 
+	"github.com/plantainrun/plantainrun/coord/outcome"
 	"github.com/plantainrun/plantainrun/internal/apierror"
 	"github.com/plantainrun/plantainrun/internal/config"
 )
@@ -45,7 +47,10 @@
 	page, err := os.ReadFile(operationsPage)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	for _, kind := range apierror.Kinds() {
-		status := (&apierror.Error{Kind: kind}).HTTPStatus()
+		status := (&apierror.Error{Kind: kind, Outcome: outcome.NotRun}).HTTPStatus()
 		g.Expect(string(page)).To(gomega.ContainSubstring(fmt.Sprintf("| `%s` | %d |", kind, status)))
+		mayHaveRun := (&apierror.Error{Kind: kind}).HTTPStatus()
+		g.Expect(mayHaveRun).To(gomega.BeElementOf(status, http.StatusBadGateway), "as the page says above the table")
 	}
+	g.Expect(string(page)).To(gomega.ContainSubstring("where an error of such a kind ends a request that may have run, its status is 502"))
 }
