Hosts measure and log how late updates of others' jobs arrive

Hosts reckon with a fixed delay of updates, 18 ms through a hub; nothing told how old what they know really is, so late updates could not be told from a choice that reckons with too little. Each update now carries the uptime of the host at its oldest event. The excess over the shortest delay of the same host does not depend on the clocks; a new process starts anew. A line is logged when the mean exceeds 100 ms and when it no longer does. No decision uses it yet.

--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -40,6 +40,7 @@
 	overflow       bool
 	flushScheduled bool // a timer will wake the sender
 	pending        *peerspb.News
+	pendingSince   time.Time // when its oldest event was queued
 	queuedEvents   int
 }
 
@@ -64,6 +65,9 @@
 		l.overflow = true
 		return
 	}
+	if l.queuedEvents == 0 {
+		l.pendingSince = time.Now()
+	}
 	add(l.pending)
 	l.queuedEvents++
 	switch {
@@ -92,6 +96,11 @@
 		return nil, errQueueFull
 	}
 	n := l.pending
+	since := time.Now()
+	if l.queuedEvents > 0 {
+		since = l.pendingSince
+	}
+	n.UptimeMs = l.service.uptimeMillis(since)
 	l.pending = &peerspb.News{}
 	l.queuedEvents = 0
 	l.flushScheduled = false
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -105,6 +105,8 @@
 	inboundConns  atomic.Int64         // connections that peers opened
 	inboundAsks   atomic.Int64         // requests of peers that wait for a change
 	lastAskAt     atomic.Int64         // last request of a peer, in Unix nanoseconds; 0 if never
+	startedAt     time.Time
+	delays        updateDelays
 
 	mu        sync.Mutex
 	links     map[netip.AddrPort]*link
@@ -118,6 +120,7 @@
 	return &Service{
 		cfg:         cfg,
 		self:        newSelf(cfg),
+		startedAt:   time.Now(),
 		hosts:       newHostTable(cfg.Addr, cfg.Domain, cfg.Seeds),
 		relayedBy:   make(map[string]string),
 		relaying:    make(map[string]bool),
@@ -180,6 +183,7 @@
 		s.cfg.Placer.SetPropagationDelay(s.propagationDelay())
 		s.cfg.Placer.SetPeers(s.countedHosts(), s.HostCount())
 		s.cfg.Placer.ExpireRemoteJobs()
+		s.logDelay()
 		select {
 		case <-ctx.Done():
 			return
@@ -343,6 +347,7 @@
 
 // applyJobs applies a host's updates of its own jobs and its reports on targets.
 func (s *Service) applyJobs(host string, n *peerspb.News) {
+	s.recordDelay(host, n)
 	for _, j := range n.GetStarted() {
 		s.cfg.Placer.RemoteStarted(host, decodeJob(j))
 	}
--- a/internal/peers/relayed.go
+++ b/internal/peers/relayed.go
@@ -34,6 +34,7 @@
 		Started: n.GetStarted(), Read: n.GetRead(), Ended: n.GetEnded(), Crashes: n.GetCrashes(),
 		RateLimits: n.GetRateLimits(), Answers: n.GetAnswers(), QuarantinedParts: n.GetQuarantinedParts(),
 		ColdTargets: n.GetColdTargets(), RefusedPrompts: n.GetRefusedPrompts(), ReturnedPrompts: n.GetReturnedPrompts(),
+		UptimeMs: n.GetUptimeMs(),
 	}}
 }
 
