logs margins: how near callers came to each bound on what is served

Attempts and refusals now log the key of the caller's request and the subject of its prompt; logs margins counts callers and prints for each bound the group that is nearest to it.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -75,18 +75,16 @@
 	addCommand("version", "Show the version.", &versionCommand{streams: streams})
 	addCommand("experiment", "Play heavy loads in the model, with and without admission under contention.", &experimentCommand{streams: streams})
 	logsCmd := addCommand("logs", "Work with the logs of hosts.", &logsCommand{})
-	if _, err := logsCmd.AddCommand("explain", "Show what happened to a request.", "Show what happened to a request.", &logsExplainCommand{streams: streams}); err != nil {
-		panic(err)
-	}
-	if _, err := logsCmd.AddCommand("retries", "Show how near the retries of all hosts came to their bound.", "Show how near the retries of all hosts came to their bound.", &logsRetriesCommand{streams: streams}); err != nil {
-		panic(err)
-	}
-	if _, err := logsCmd.AddCommand("reservations", "Show how near reserved engine memory came to its bound after the end of its use.", "Show how near reserved engine memory came to its bound after the end of its use.", &logsReservationsCommand{streams: streams}); err != nil {
-		panic(err)
-	}
-	if _, err := logsCmd.AddCommand("losses", "Show what became of all requests, and why some were not served in time.", "Show what became of all requests, and why some were not served in time.", &logsLossesCommand{streams: streams}); err != nil {
-		panic(err)
+	addLogsCommand := func(name, description string, command any) {
+		if _, err := logsCmd.AddCommand(name, description, description, command); err != nil {
+			panic(err)
+		}
 	}
+	addLogsCommand("explain", "Show what happened to a request.", &logsExplainCommand{streams: streams})
+	addLogsCommand("retries", "Show how near the retries of all hosts came to their bound.", &logsRetriesCommand{streams: streams})
+	addLogsCommand("reservations", "Show how near reserved engine memory came to its bound after the end of its use.", &logsReservationsCommand{streams: streams})
+	addLogsCommand("losses", "Show what became of all requests, and why some were not served in time.", &logsLossesCommand{streams: streams})
+	addLogsCommand("margins", "Show how near callers came to being served less than the bounds allow.", &logsMarginsCommand{streams: streams})
 	rulesCmd := addCommand("rules", "Work with rules.", &rulesCommand{})
 	if _, err := rulesCmd.AddCommand("check", "Check a file of rules.", "Check a file of rules.", &rulesCheckCommand{streams: streams}); err != nil {
 		panic(err)
--- a/internal/cli/logs.go
+++ b/internal/cli/logs.go
@@ -11,6 +11,7 @@
 	"github.com/plantainrun/plantainrun/internal/explain"
 	"github.com/plantainrun/plantainrun/internal/leaselog"
 	"github.com/plantainrun/plantainrun/internal/losses"
+	"github.com/plantainrun/plantainrun/internal/margins"
 	"github.com/plantainrun/plantainrun/internal/retrylog"
 )
 
@@ -111,6 +112,32 @@
 	return retrylog.Write(c.streams.Out, reports)
 }
 
+type logsMarginsCommand struct {
+	LatePayoff  float64            `long:"late-payoff" description:"payoff of a late answer, as a fraction of that of a timely one" default:"0.25"`
+	Payoffs     map[string]float64 `long:"payoff" description:"payoff of a request of mean size, as ROUTE:PAYOFF; 1 for routes that are not named"`
+	Floor       float64            `long:"floor" description:"smallest fraction of the payoff of all that is to be earned"`
+	RouteFloor  float64            `long:"route-floor" description:"the same for each route"`
+	DomainFloor float64            `long:"domain-floor" description:"the same for each failure domain"`
+	Args        struct {
+		Files []string `positional-arg-name:"FILE" description:"logs of all hosts" required:"1"`
+	} `positional-args:"yes"`
+	streams Streams
+}
+
+// Execute prints how near callers came to being served less than the bounds allow.
+func (c *logsMarginsCommand) Execute([]string) error {
+	collector := losses.NewCollector()
+	if err := collectFiles(collector, c.Args.Files); err != nil {
+		return err
+	}
+	callers := margins.Callers(collector.Requests())
+	if len(callers) == 0 {
+		return eris.New("no log line tells what became of a request: pass the logs that hosts write to standard output")
+	}
+	terms := margins.Terms{LatePayoff: c.LatePayoff, Payoffs: c.Payoffs, Floor: c.Floor, RouteFloor: c.RouteFloor, DomainFloor: c.DomainFloor}
+	return margins.Write(c.streams.Out, margins.Margins(callers, terms))
+}
+
 type logsReservationsCommand struct {
 	Bound time.Duration `long:"bound" description:"how long memory may stay reserved after the end of its use" default:"4s"`
 	Most  int           `long:"most" description:"how many reservations to list" default:"5"`
--- a/internal/losses/collect.go
+++ b/internal/losses/collect.go
@@ -59,6 +59,8 @@
 	PredictedWait float64   `json:"predicted_wait"`
 	MemoryWait    bool      `json:"waited_for_memory"`
 	ShortOf       string    `json:"short_of"`
+	CallerKey     string    `json:"caller_key"`
+	Subject       string    `json:"subject"`
 }
 
 // The messages of the log lines that are read.
@@ -169,6 +171,12 @@
 	if l.PromptTokens > 0 {
 		r.PromptTokens = l.PromptTokens
 	}
+	if l.CallerKey != "" {
+		r.CallerKey = l.CallerKey
+	}
+	if l.Subject != "" {
+		r.Subject = c.name(l.Subject)
+	}
 	return r
 }
 
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -29,6 +29,9 @@
 	return [...]string{"unfinished", "in time", "late", "paused", "refused", "left", "broken", "denied"}[f]
 }
 
+// Served reports whether a request with the fate got a whole answer, in time or late.
+func (f Fate) Served() bool { return f == InTime || f == LateFirstEvent || f == LatePause }
+
 // Loss reports whether a request with the fate was not served in time although it was owed.
 func (f Fate) Loss() bool { return f != InTime && f != Denied && f != Unfinished }
 
@@ -70,6 +73,8 @@
 	Route        string
 	Organisation string
 	PromptTokens int
+	CallerKey    string // the same for repetitions of one caller's request; empty if unknown
+	Subject      string // last part of the prompt that others share; empty for none
 	Start        time.Time
 	Fate         Fate
 	Cause        Cause // set for losses
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -231,9 +231,9 @@
 	if j.responseStarted {
 		call.LastEventID = j.seq.lastEventID()
 	}
-	j.log("attempt", zap.String("organisation", j.organisation), zap.String("target", placed.Primary.ID), zap.String("domain", placed.Primary.Domain),
+	j.log("attempt", append(j.callerFields(), zap.String("target", placed.Primary.ID), zap.String("domain", placed.Primary.Domain),
 		zap.Duration("predicted_wait", placed.PredictedWait), zap.Bool("late", placed.Late), zap.Bool("returned", j.earlier.Returned), zap.Duration("waited_before", j.earlier.Waited), zap.Strings("helpers", reservations.helperIDs()),
-		zap.Int("prompt_tokens", j.req.PromptTokens), zap.Duration("view_age", j.relay.cfg.Views.Age()))
+		zap.Duration("view_age", j.relay.cfg.Views.Age()))...)
 	return j.relay.cfg.Transport.Send(ctx, call)
 }
 
--- a/internal/relay/lateness.go
+++ b/internal/relay/lateness.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,6 +31,17 @@
 
 // refuse refuses the request, and logs what it asked for.
 func (j *job) refuse(refusal Refusal) {
-	j.relay.refuse(j.req, j.writer, refusal, zap.String("route", j.route.Name), zap.String("service", j.serviceName),
-		zap.String("organisation", j.organisation), zap.Int("prompt_tokens", j.req.PromptTokens))
+	j.relay.refuse(j.req, j.writer, refusal, append(j.callerFields(), zap.String("route", j.route.Name), zap.String("service", j.serviceName))...)
+}
+
+// callerFields are the log fields that tell who asked for what, the same when a refused caller
+// comes back.
+func (j *job) callerFields() []zap.Field {
+	fields := []zap.Field{
+		zap.String("organisation", j.organisation), zap.Int("prompt_tokens", j.req.PromptTokens), zap.String("caller_key", fmt.Sprintf("%x", uint64(j.fingerprint()))),
+	}
+	if parts := j.req.SharedParts; len(parts) > 0 {
+		fields = append(fields, zap.String("subject", parts[len(parts)-1]))
+	}
+	return fields
 }
