Hubs of a large domain share the relaying, so that none chokes its link

Cause: three hubs of each failure domain relay the updates of all hosts to all hosts of the domain, whatever its size. What a hub sends grows with the product of both, and hubs are mostly hosts with the slowest links. At 295 hosts each of them sent 2.2 to 2.7 MB/s while short prompts came in a burst, over links of 2.5 MB/s. Updates queued there, so that hosts placed prompts by what they knew up to two seconds ago, and chose the same engines.

Now a domain has as many hubs as keep that product below 1,000 for each: 18 of 59 at 295 hosts, three as before up to some 120 hosts in five domains. Hosts that disagree on the number while some are unknown only choose other hubs, which any host accepts.

--- a/internal/peers/hosts.go
+++ b/internal/peers/hosts.go
@@ -226,7 +226,7 @@
 	for domain, entries := range byDomain {
 		own := domain == t.domain
 		direct := len(entries) <= maxDirectHosts
-		hub, selfIsHub := t.hub(entries, own, now)
+		hub, selfIsHub := t.hub(entries, hubCount(len(t.hosts), len(entries)), own, now)
 		for _, e := range entries {
 			isHub := e.addr == hub && !direct && (!own || !selfIsHub)
 			if own || direct || isHub {
@@ -237,11 +237,17 @@
 	return out
 }
 
+// hubCount returns how many hosts of a domain relay the updates of other hosts there. What a hub
+// sends grows with the hosts that it relays for and with those that it relays to.
+func hubCount(hosts, receivers int) int {
+	return max(minHubsPerDomain, (hosts*receivers+maxRelayPairs-1)/maxRelayPairs)
+}
+
 // hub returns the host of a domain that relays this host's updates there, and
 // reports whether this host is a hub of its own domain. The hubs of a domain are
 // the first reachable hosts in an order that all hosts share, so that each hub
 // batches the updates of many hosts.
-func (t *hostTable) hub(entries []*hostEntry, own bool, now time.Time) (addr netip.AddrPort, selfIsHub bool) {
+func (t *hostTable) hub(entries []*hostEntry, count int, own bool, now time.Time) (addr netip.AddrPort, selfIsHub bool) {
 	var candidates []netip.AddrPort
 	if own {
 		candidates = append(candidates, t.self)
@@ -252,7 +258,7 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b netip.AddrPort) int { return cmp.Compare(ringPosition(a), ringPosition(b)) })
-	hubs := candidates[:min(len(candidates), hubsPerDomain)]
+	hubs := candidates[:min(len(candidates), count)]
 	if len(hubs) == 0 {
 		return netip.AddrPort{}, false
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -55,8 +55,12 @@
 	// maxDirectHosts is the largest number of other hosts in a failure domain for
 	// which each of them is sent jobs directly.
 	maxDirectHosts = 4
-	// hubsPerDomain is how many hosts of a larger domain relay updates to it.
-	hubsPerDomain = 3
+	// minHubsPerDomain is the smallest number of hosts of a larger domain that relay updates to
+	// it.
+	minHubsPerDomain = 3
+	// maxRelayPairs is the largest product of the hosts whose updates a hub relays and of the
+	// hosts that it relays them to.
+	maxRelayPairs = 1000
 	// directDelay and hubDelay are the expected delays until a peer learns of a
 	// job, without and with a hub in between.
 	directDelay = coalesceDelay + time.Millisecond
