Hosts reckon with the delay that updates of others' jobs really have

The rate limits of targets are shared by the same figure.

The placer now gets the shortest delay plus the excess that is measured.

Evidence: TestPlacerReckonsWithTheDelayThatUpdatesHave failed before (3 ms instead of 600).

--- a/internal/peers/delay.go
+++ b/internal/peers/delay.go
@@ -98,7 +98,7 @@
 // UpdateDelay returns the mean delay with which this host has lately learned of the jobs of
 // others.
 func (s *Service) UpdateDelay() time.Duration {
-	return s.propagationDelay() + s.delays.mean(time.Now())
+	return s.shortestDelay() + s.delays.mean(time.Now())
 }
 
 // logDelay logs when updates begin to be late, and when they are in time again.
--- a/internal/peers/delay_test.go
+++ b/internal/peers/delay_test.go
@@ -5,6 +5,10 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/plantainrun/plantainrun/internal/peers/peerspb"
+	"github.com/plantainrun/plantainrun/internal/placement"
 )
 
 const ms = time.Millisecond
@@ -47,3 +51,26 @@
 	g.Expect(play(&d, 0, 2, func(i int) time.Duration { return time.Duration(i) * 400 * ms })).To(BeNumerically(">", 100*ms))
 	g.Expect(d.mean(time.Unix(1e9, 0).Add(10 * time.Second))).To(BeNumerically("<", ms))
 }
+
+// Guards against hosts that all choose the same engine since updates arrive later than they reckon
+// with.
+func TestPlacerReckonsWithTheDelayThatUpdatesHave(t *testing.T) {
+	const late = 600 * ms
+	g := NewWithT(t)
+	placer := placement.NewPlacer(time.Now, 1)
+	s := New(Config{HostID: "self", Placer: placer, Log: zap.NewNop()})
+	s.startedAt = time.Now().Add(-time.Minute)
+	hear := func(id uint64, uptime time.Duration) {
+		job := &peerspb.Job{Id: id, Service: "llm", Shares: []*peerspb.Share{{Target: "engine", WorkUs: 30_000, Writes: true}}}
+		s.applyJobs("peer", &peerspb.News{Started: []*peerspb.Job{job}, UptimeMs: uint64(uptime.Milliseconds())})
+	}
+	hear(0, time.Minute)
+	s.updatePlacer()
+	g.Expect(placer.PropagationDelay()).To(BeNumerically("<", late/2), "updates are in time")
+	s.startedAt = s.startedAt.Add(-time.Second) // a second later
+	for id := range uint64(100) {
+		hear(id+1, time.Minute+time.Second-late)
+	}
+	s.updatePlacer()
+	g.Expect(placer.PropagationDelay()).To(BeNumerically("~", late, late/10))
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -184,9 +184,7 @@
 	for {
 		s.reconcileLinks(ctx)
 		forwardHosts = s.reportForwardHosts(forwardHosts)
-		s.cfg.Placer.SetPropagationDelay(s.propagationDelay())
-		s.cfg.Placer.SetPeers(s.countedHosts(), s.HostCount())
-		s.cfg.Placer.ExpireRemoteJobs()
+		s.updatePlacer()
 		s.logDelay()
 		select {
 		case <-ctx.Done():
@@ -196,6 +194,14 @@
 	}
 }
 
+// updatePlacer tells the placer what it reckons with: how late it learns of peers' jobs, and how
+// many peers there are.
+func (s *Service) updatePlacer() {
+	s.cfg.Placer.SetPropagationDelay(s.UpdateDelay())
+	s.cfg.Placer.SetPeers(s.countedHosts(), s.HostCount())
+	s.cfg.Placer.ExpireRemoteJobs()
+}
+
 // reportForwardHosts reports the hosts that take requests if they differ from the last
 // ones, and returns them.
 func (s *Service) reportForwardHosts(last []ForwardHost) []ForwardHost {
@@ -209,9 +215,9 @@
 	return current
 }
 
-// propagationDelay returns the delay with which the jobs of most peers arrive: hubDelay
-// if this host itself sends through a hub, else directDelay.
-func (s *Service) propagationDelay() time.Duration {
+// shortestDelay returns the delay with which the jobs of most peers arrive if nothing holds them
+// up: hubDelay if this host itself sends through a hub, else directDelay.
+func (s *Service) shortestDelay() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.links {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -87,7 +87,7 @@
 // prefill. The error is a *BacklogError.
 func (p *Placement) choosePrompt(req *Request, candidates, helpers []*targetLoad, s *shard, now time.Time) ([]Share, error) {
 	c := newChooser(req, candidates, helpers, s, p.placer.policy, now)
-	c.unseenPrompts = c.sampledFraction * s.demand.shortPrompts.perSecond(now) * time.Duration(p.placer.propagationDelay.Load()).Seconds()
+	c.unseenPrompts = c.sampledFraction * s.demand.shortPrompts.perSecond(now) * p.placer.PropagationDelay().Seconds()
 	best, err := c.admit(c.best(c.engines))
 	if err != nil {
 		return nil, err
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -68,6 +68,9 @@
 // SetPropagationDelay sets the delay with which this host learns of peers' jobs.
 func (pl *Placer) SetPropagationDelay(d time.Duration) { pl.propagationDelay.Store(int64(d)) }
 
+// PropagationDelay returns the delay with which this host learns of peers' jobs.
+func (pl *Placer) PropagationDelay() time.Duration { return time.Duration(pl.propagationDelay.Load()) }
+
 func (pl *Placer) shard(service string) *shard {
 	pl.mu.RLock()
 	s := pl.shards[service]
--- a/internal/placement/ratelimit.go
+++ b/internal/placement/ratelimit.go
@@ -210,7 +210,7 @@
 		expectsPeers:     pl.expectsPeers.Load(),
 		countedHosts:     int(pl.countedHosts.Load()),
 		knownHosts:       int(pl.knownHosts.Load()),
-		propagationDelay: time.Duration(pl.propagationDelay.Load()),
+		propagationDelay: pl.PropagationDelay(),
 	}
 }
 
--- a/internal/standin/fleetmodel/fleetmodel.go
+++ b/internal/standin/fleetmodel/fleetmodel.go
@@ -24,6 +24,7 @@
 	Engines          int
 	Duration         time.Duration
 	PropagationDelay time.Duration // of job updates; 0: hosts exchange none
+	AssumedDelay     time.Duration // that hosts reckon with; 0 for PropagationDelay
 	RandomPlacement  bool          // engines are chosen at random
 	ImpatientCallers bool          // callers leave when they have waited too long for an event
 	// UnknownPrompts is how many prompts of 500,000 tokens are prefilled on the first
@@ -143,7 +144,7 @@
 	for i := range s.Hosts {
 		pl := placement.NewPlacer(func() time.Time { return start.Add(sim.fleet.Now()) }, seed+uint64(i))
 		pl.SetObserver(jobReporter{sim, i})
-		pl.SetPropagationDelay(s.PropagationDelay)
+		pl.SetPropagationDelay(cmp.Or(s.AssumedDelay, s.PropagationDelay))
 		if s.Policy != nil {
 			pl.SetPolicy(*s.Policy)
 		}
--- a/internal/standin/fleetmodel/loads.go
+++ b/internal/standin/fleetmodel/loads.go
@@ -148,6 +148,15 @@
 	StepTimePerKiloToken: 4310 * time.Nanosecond, PrefillRate: 206000, AttentionTimePerMPairs: 138 * time.Microsecond, StepsPerPass: 68,
 }
 
+// ShortPromptBurst returns a scenario of a few seconds in which short prompts come at up to two
+// and a half times their ordinary rate and take nearly all slots of the engines.
+func ShortPromptBurst(hosts, engines int) Scenario {
+	s := LongPromptBurst(hosts, engines)
+	workloads := steadyKinds(engines).inPhases(phaseBetween(1, 8, 2.4, 0.5, 0.05))
+	s.Workloads = slices.DeleteFunc(workloads, func(w Workload) bool { return w.Start >= s.Duration })
+	return s
+}
+
 // LongPromptBurst returns a scenario of a few seconds in which long prompts come at up to three
 // times their ordinary rate and ask for two thirds of the prefill of all engines.
 func LongPromptBurst(hosts, engines int) Scenario {
