--- a/internal/margins/margins.go
+++ b/internal/margins/margins.go
@@ -172,18 +172,24 @@
 	return out
 }
 
-// services returns how often groups are served against all callers.
+// services returns how often groups are served against all callers. Those to whom a target itself
+// answered with a failure are left out.
 func (r *reckoner) services(bound string, groups []group) []Margin {
-	all := service(r.callers)
+	all := service(withoutTargetFailures(r.callers))
 	var out []Margin
 	for _, g := range groups {
-		if len(g.callers) >= minGroupCallers && all > 0 {
-			out = append(out, Margin{Bound: bound, Group: g.name, Callers: len(g.callers), Value: service(g.callers) / all, Limit: minServiceRatio})
+		callers := withoutTargetFailures(g.callers)
+		if len(callers) >= minGroupCallers && all > 0 {
+			out = append(out, Margin{Bound: bound, Group: g.name, Callers: len(callers), Value: service(callers) / all, Limit: minServiceRatio})
 		}
 	}
 	return out
 }
 
+func withoutTargetFailures(callers []Caller) []Caller {
+	return slices.DeleteFunc(slices.Clone(callers), func(c Caller) bool { return c.Cause == losses.CauseTarget })
+}
+
 // sizes returns how often the largest tenth of the prompts of a route, and the fifth below it,
 // are served against all of the route. Answers that broke off are left out.
 func sizes(routes []group) []Margin {
--- a/internal/margins/margins_test.go
+++ b/internal/margins/margins_test.go
@@ -102,6 +102,16 @@
 	g.Expect(marginOf(g, margins.Margins(callers, margins.Terms{}), "service of the largest").Value).To(Equal(1.0))
 }
 
+func TestFailuresOfTargetsDoNotCountAgainstTheServiceOfARoute(t *testing.T) {
+	g := NewWithT(t)
+	callers := day(func(i int, r *losses.Request) {
+		if i%2 == 0 && i > 60 {
+			r.Fate, r.Cause = losses.Broken, losses.CauseTarget
+		}
+	})
+	g.Expect(marginOf(g, margins.Margins(callers, margins.Terms{}), "service of a route").Value).To(Equal(1.0))
+}
+
 func TestUnknownFloorsAreSaidToBeUnknown(t *testing.T) {
 	g := NewWithT(t)
 	var text bytes.Buffer
