A caller who is refused again is promised no room

Callers saw: of the largest tenth of the longest kind those who came back were refused again, while room was kept for them that nobody used.

Cause: a refusal promises room whenever the backlog allows it, whether the caller has been refused before or not. The class: a hint about a caller that is made without asking whether the caller will act on it.

Evidence: TestCallerWhoIsRefusedAgainIsPromisedNoRoom failed before.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -78,7 +78,8 @@
 // may, and such a choice is taken unless it costs other requests more than the prompt earns. A
 // caller who was promised room is always admitted: prefill grows faster with the size of a
 // prompt than what it earns, so by the cost alone the largest ones would be refused again each
-// time. The error is a *BacklogError.
+// time. One who is refused again is promised nothing: most callers try no third time, and the
+// room would be kept for nobody. The error is a *BacklogError.
 func (c *chooser) admit(best *choice) (*choice, error) {
 	if !c.policy.Admission || !c.req.Contended || !c.blocksEngines() || c.req.Promised {
 		return best, nil
@@ -93,7 +94,7 @@
 		return early, nil
 	}
 	refusal := &BacklogError{Backlog: backlog, Limit: limit, RetryAfter: returnDelay(c.req.Objective, backlog-limit, c.random)}
-	refusal.Promised = c.hasRoom()
+	refusal.Promised = !c.req.Returned && c.hasRoom()
 	c.explainRefusal(refusal, best, early)
 	return nil, refusal
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -34,8 +34,9 @@
 	Contended bool
 	// Key identifies the prompt when its caller comes back after a refusal; 0 for none.
 	Key PromptKey
-	// Promised means that the caller was refused before, and promised room for its return.
-	Promised bool
+	// Returned means that the caller was refused before, and Promised that it was promised room
+	// for its return.
+	Returned, Promised bool
 	// Patience is how long the caller still waits for an answer, refusals included.
 	Patience time.Duration
 	// ColdRate is the number of requests per second that a cold target of the service accepts
--- a/internal/placement/returns_test.go
+++ b/internal/placement/returns_test.go
@@ -127,6 +127,19 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
+// Guards against room that is kept for callers who don't come a third time.
+func TestCallerWhoIsRefusedAgainIsPromisedNoRoom(t *testing.T) {
+	g := NewWithT(t)
+	placer := busyPlacer(newManualClock(), 1300*time.Millisecond)
+	returned := contendedPrompt(1)
+	returned.Returned = true
+	var refused *placement.BacklogError
+	_, err := placer.Place(returned, engineTargets(2))
+	g.Expect(errors.As(err, &refused)).To(BeTrue())
+	g.Expect(refused.Promised).To(BeFalse())
+	g.Expect(refuse(g, placer, 2).Promised).To(BeTrue(), "there is room for one who is refused for the first time")
+}
+
 // Promised prompts whose callers don't come hold back no other prompt for long, so a promise
 // idles no engine.
 func TestPromisesLapse(t *testing.T) {
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -245,7 +245,7 @@
 		req.Contended = true
 		j.recogniseReturn()
 		req.Waited += j.earlier.Waited
-		req.Key, req.Promised = j.promptKey, j.earlier.Promised
+		req.Key, req.Returned, req.Promised = j.promptKey, j.earlier.Returned, j.earlier.Promised
 		req.Patience = j.remaining()
 	}
 	req.OutputTokens = outputEstimateOffset + int(outputEstimateFactor*float64(j.req.ExpectedOutputTokens))
--- a/internal/standin/fleetmodel/fleetmodel.go
+++ b/internal/standin/fleetmodel/fleetmodel.go
@@ -339,7 +339,7 @@
 	}
 	if req.Contended {
 		earlier := sim.placers[r.host].RecogniseReturn(service, r.key)
-		req.Waited, req.Promised = req.Waited+earlier.Waited, earlier.Promised
+		req.Waited, req.Returned, req.Promised = req.Waited+earlier.Waited, earlier.Returned, earlier.Promised
 	}
 	targets := sim.targets
 	if sim.RandomPlacement {
