--- a/review/lab4/server.go
+++ b/review/lab4/server.go
@@ -29,6 +29,8 @@
 	fleet             *fleet
 	addr              string
 	leaving           atomic.Bool
+	turnAway          atomic.Int64 // how many requests to turn away
+	retryAfter        string       // named to them, in seconds
 
 	mu      sync.Mutex
 	tickets map[string]*ticket
@@ -117,6 +119,13 @@
 	end := make(chan struct{})
 	var once sync.Once
 	stop := func() { once.Do(func() { close(end) }) }
+	if s.turnAway.Add(-1) >= 0 {
+		s.fleet.rec.add("server %s turns request %s away with 503 and Retry-After: %s", s.id, id, s.retryAfter)
+		w.Header().Set(names["notrun"], "1")
+		w.Header().Set("Retry-After", s.retryAfter)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	done, missing := s.useTickets(id, r.Header.Get(names["helpers"]), stop)
 	defer done()
 	if missing != "" {
