Review: requests that are alike are refused after silences of sound servers (case 12)

Cause: an attempt that the machine cancels since its target is silent counts as a crash under its request; three targets within a minute quarantine all requests that are alike, on all machines, whatever was answered meanwhile.

--- a/review/lab4/client.go
+++ b/review/lab4/client.go
@@ -47,7 +47,7 @@
 	}
 	req.Host = "ficu95.example"
 	req.Header.Set(names["attempt"], c.id)
-	req.Header.Set(names["deadline"], "10000")
+	req.Header.Set(names["deadline"], "4000")
 	req.Header.Set("Authorization", "Token "+cmp.Or(c.key, apiKey))
 	for name, value := range c.header {
 		req.Header.Set(name, value)
--- a/review/lab4/host.go
+++ b/review/lab4/host.go
@@ -28,6 +28,8 @@
 	internal                          int // first of two free ports
 	cmd                               *exec.Cmd
 	log                               *os.File
+	store                             string
+	seeds                             []string
 }
 
 // takenPorts keeps freePort from giving a port twice.
@@ -129,10 +131,18 @@
 // startHosts starts one machine for each address of a store, in turn in the zones, and waits
 // until they are ready and know each other.
 func startHosts(dir string, stores []string) ([]*host, error) {
+	return startHostsIn(dir, stores, zones)
+}
+
+// startHostsIn starts machines in the given zones in turn.
+func startHostsIn(dir string, stores, zones []string) ([]*host, error) {
 	var hosts []*host
 	var seeds []string
+	inZone := make(map[string]int)
 	for i := range stores {
-		h := &host{name: fmt.Sprintf("edge-%s-%d", zones[i%len(zones)], 1+i/len(zones)), zone: zones[i%len(zones)]}
+		zone := zones[i%len(zones)]
+		inZone[zone]++
+		h := &host{name: fmt.Sprintf("edge-%s-%d", zone, inZone[zone]), zone: zone}
 		var errs [4]error
 		h.front, errs[0] = freeAddr()
 		h.ready, errs[1] = freeAddr()
@@ -146,7 +156,8 @@
 	}
 	seeds = seeds[:min(len(seeds), 3)]
 	for i, h := range hosts {
-		if err := h.start(dir, stores[i], seeds); err != nil {
+		h.store, h.seeds = stores[i], seeds
+		if err := h.start(dir); err != nil {
 			return hosts, err
 		}
 	}
@@ -159,14 +170,14 @@
 	return hosts, nil
 }
 
-func (h *host) start(dir, store string, seeds []string) error {
+func (h *host) start(dir string) error {
 	path := filepath.Join(dir, h.name+".conf")
-	text := fmt.Sprintf(settingsText, h.name, h.zone, h.front, h.ready, h.control, h.internal, h.internal+1, strings.Join(seeds, ","), store)
+	text := fmt.Sprintf(settingsText, h.name, h.zone, h.front, h.ready, h.control, h.internal, h.internal+1, strings.Join(h.seeds, ","), h.store)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
 	var err error
-	if h.log, err = os.Create(filepath.Join(dir, h.name+".log")); err != nil {
+	if h.log, err = os.OpenFile(filepath.Join(dir, h.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600); err != nil {
 		return err
 	}
 	h.cmd = exec.Command(program, "edge")
--- a/review/lab4/leaving.go
+++ b/review/lab4/leaving.go
@@ -13,7 +13,7 @@
 	drainBound     = 2 * time.Second         // drain_ms
 	heartbeat      = 1200 * time.Millisecond // heartbeat_ms
 	lapse          = 3 * heartbeat           // until the entry of a silent server is removed
-	requestSpacing = 40 * time.Millisecond
+	requestSpacing = 50 * time.Millisecond
 )
 
 // traffic sends requests to a machine at a steady rate until stopped, each one on a kept channel.
@@ -84,38 +84,18 @@
 	if err := l.addServers(3, 0); err != nil {
 		return nil, err
 	}
-	addr, err := serveStore(l.store)
+	links, err := l.startBehindLinks()
 	if err != nil {
 		return nil, err
 	}
-	// The first machine reaches the servers over links of its own.
-	view := newStore()
-	view.put(names["config"], config(7))
-	var links []*link
-	for _, s := range l.plain {
-		way, err := newLink(s.addr)
-		if err != nil {
-			return nil, err
-		}
-		links = append(links, way)
-		view.put(names["servers"]+s.id, s.entry(way.addr, "ready"))
-	}
-	viewAddr, err := serveStore(view)
-	if err != nil {
-		return nil, err
-	}
-	if l.hosts, err = startHosts(l.dir, []string{viewAddr, addr, addr}); err != nil {
-		return nil, err
-	}
+	view := l.view
 	h, leaver := l.hosts[0], l.plain[0]
 	before := startTraffic(l, h, get)
 	time.Sleep(2 * time.Second)
 	before.end() // no request is in progress as the cut begins
 	if l.trouble {
 		l.rec.add("%s is cut off from all servers", h.name)
-		for _, way := range links {
-			way.cut()
-		}
+		cutAll(links)
 	}
 	t := startTraffic(l, h, get)
 	time.Sleep(1500 * time.Millisecond)
@@ -130,14 +110,10 @@
 		}
 	}
 	time.Sleep(2200 * time.Millisecond)
-	for _, way := range links {
-		if l.trouble {
-			if err := way.heal(); err != nil {
-				return nil, err
-			}
-		}
-	}
 	if l.trouble {
+		if err := healAll(links); err != nil {
+			return nil, err
+		}
 		l.rec.add("%s reaches all servers again", h.name)
 	}
 	time.Sleep(time.Until(leavesAt.Add(lapse)))
--- a/review/lab4/main.go
+++ b/review/lab4/main.go
@@ -22,6 +22,7 @@
 	dir     string
 	trouble bool
 	store   *store
+	view    *store // of the first machine, if it reaches the servers over links
 	fleet   *fleet
 	plain   []*server
 	engines []*server
@@ -121,3 +122,44 @@
 	l.hosts, err = startHosts(l.dir, stores)
 	return err
 }
+
+// startBehindLinks starts three machines. The first one reaches the servers over links of its own,
+// which are returned, and reads a store that names these.
+func (l *lab) startBehindLinks() ([]*link, error) {
+	addr, err := serveStore(l.store)
+	if err != nil {
+		return nil, err
+	}
+	l.view = newStore()
+	l.view.put(names["config"], config(7))
+	var links []*link
+	for _, s := range l.plain {
+		way, err := newLink(s.addr)
+		if err != nil {
+			return nil, err
+		}
+		links = append(links, way)
+		l.view.put(names["servers"]+s.id, s.entry(way.addr, "ready"))
+	}
+	viewAddr, err := serveStore(l.view)
+	if err != nil {
+		return nil, err
+	}
+	l.hosts, err = startHosts(l.dir, []string{viewAddr, addr, addr})
+	return links, err
+}
+
+func cutAll(links []*link) {
+	for _, way := range links {
+		way.cut()
+	}
+}
+
+func healAll(links []*link) error {
+	for _, way := range links {
+		if err := way.heal(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/review/lab4/server.go
+++ b/review/lab4/server.go
@@ -29,8 +29,9 @@
 	fleet             *fleet
 	addr              string
 	leaving           atomic.Bool
-	turnAway          atomic.Int64 // how many requests to turn away
-	retryAfter        string       // named to them, in seconds
+	turnAway          atomic.Int64                  // how many requests to turn away
+	retryAfter        string                        // named to them, in seconds
+	silence           atomic.Pointer[chan struct{}] // closed at the end of a silence; nil for none
 
 	mu      sync.Mutex
 	tickets map[string]*ticket
@@ -90,6 +91,9 @@
 
 // ServeHTTP serves requests, orders and questions.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if silence := s.silence.Load(); silence != nil {
+		<-*silence
+	}
 	if s.leaving.Load() {
 		w.Header().Set(names["leaving"], "1")
 	}
@@ -142,10 +146,24 @@
 		return
 	}
 	if s.pause(r, end) {
+		if silence := s.silence.Load(); silence != nil {
+			<-*silence
+		}
 		fmt.Fprintf(w, "done by %s", s.id)
 	}
 }
 
+// fallSilent answers nothing for a while and goes on then.
+func (s *server) fallSilent(d time.Duration) {
+	silence := make(chan struct{})
+	s.fleet.rec.add("server %s falls silent for %s", s.id, d)
+	s.silence.Store(&silence)
+	time.Sleep(d)
+	s.silence.Store(nil)
+	close(silence)
+	s.fleet.rec.add("server %s goes on", s.id)
+}
+
 // pause works for a step and reports whether the request goes on.
 func (s *server) pause(r *http.Request, end <-chan struct{}) bool {
 	select {
--- a/review/lab4/store.go
+++ b/review/lab4/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -26,19 +27,53 @@
 	history  []storeItem
 	changed  chan struct{} // closed at each change
 	cut      chan struct{} // closed to cut the watches that wait
+	era      int64
+	away     bool
+}
+
+// storeCopy is a copy of a store.
+type storeCopy struct {
+	revision int64
+	items    map[string]storeItem
+	history  []storeItem
+}
+
+// copyNow takes a copy.
+func (s *store) copyNow() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{revision: s.revision, items: maps.Clone(s.items), history: slices.Clone(s.history)}
+}
+
+// leave makes the store answer nothing but 503, and cuts the watches.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
+// comeBack makes the store come back from a copy.
+func (s *store) comeBack(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = false
+	s.era++
+	s.revision, s.items, s.history = c.revision, maps.Clone(c.items), slices.Clone(c.history)
 }
 
 func newStore() *store {
-	return &store{revision: 100, items: make(map[string]storeItem), changed: make(chan struct{}), cut: make(chan struct{})}
+	return &store{revision: 100, era: 1, items: make(map[string]storeItem), changed: make(chan struct{}), cut: make(chan struct{})}
 }
 
-// put writes a value and returns when the store has accepted it.
-func (s *store) put(key string, value any) {
+// put writes a value and returns its revision when the store has accepted it.
+func (s *store) put(key string, value any) int64 {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
-	s.write(storeItem{Key: key, Value: raw}, false)
+	return s.write(storeItem{Key: key, Value: raw}, false)
 }
 
 // remove removes a key. With cutWatches, the watches that wait are cut instead of answered.
@@ -46,7 +81,7 @@
 	s.write(storeItem{Key: key, Removed: true}, cutWatches)
 }
 
-func (s *store) write(it storeItem, cutWatches bool) {
+func (s *store) write(it storeItem, cutWatches bool) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -60,15 +95,23 @@
 	if cutWatches {
 		close(s.cut)
 		s.cut = make(chan struct{})
-		return // a new watch finds the change in the history
+		return it.Revision // a new watch finds the change in the history
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
+	return it.Revision
 }
 
 // ServeHTTP serves ranges and watches.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(names["era"], "1")
+	s.mu.Lock()
+	away := s.away
+	w.Header().Set(names["era"], strconv.FormatInt(s.era, 10))
+	s.mu.Unlock()
+	if away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	switch r.URL.Path {
 	case names["range"]:
@@ -101,6 +144,7 @@
 	for waited := false; ; {
 		s.mu.Lock()
 		changed, cut, revision := s.changed, s.cut, s.revision
+		w.Header().Set(names["era"], strconv.FormatInt(s.era, 10))
 		events := []storeItem{}
 		for _, it := range s.history {
 			if it.Revision > after {
@@ -108,6 +152,10 @@
 			}
 		}
 		s.mu.Unlock()
+		if after > revision {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(events) > 0 || waited {
 			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "store_revision": revision})
 			return
--- a/review/lab4/tickets.go
+++ b/review/lab4/tickets.go
@@ -33,7 +33,7 @@
 		var both sync.WaitGroup
 		send := func(key string, number int) {
 			c := call{method: http.MethodPost, path: "/lohu930/2f", body: "a long prompt of " + key, id: strconv.Itoa(number), key: key, header: map[string]string{
-				names["tokens"]: "300000,80", names["model"]: "m", names["prefix"]: fmt.Sprintf("5c1e07a2:800,%x:299200", number),
+				names["deadline"]: "15000", names["tokens"]: "300000,80", names["model"]: "m", names["prefix"]: fmt.Sprintf("5c1e07a2:800,%x:299200", number),
 			}}
 			if a := c.send(client, l.hosts[0], l.rec); a.err != nil || a.status != http.StatusOK {
 				mu.Lock()
