--- a/review/lab4/drill.go
+++ b/review/lab4/drill.go
@@ -14,6 +14,9 @@
 	// settleTime is until the machines that do not read the store themselves follow it through others.
 	settleTime = 8 * time.Second
 	writeWait  = 2 * time.Second // until the operator writes again
+	// drillRounds is how many drills are played: which machines ask which one is left to chance.
+	drillRounds    = 3
+	versionsARound = 10
 )
 
 // drillZones are the zones of six machines, of which five are in one.
@@ -36,10 +39,21 @@
 	if l.hosts, err = startHostsIn(l.dir, stores, drillZones); err != nil {
 		return nil, err
 	}
+	var broken []string
+	for round := range drillRounds {
+		broken = append(broken, l.drill(versionsARound*(round+1))...)
+	}
+	return broken, nil
+}
+
+// drill plays one drill, with versions from the given one on, and lists the requests that ran
+// though their key had been taken away.
+func (l *lab) drill(version int) []string {
+	l.store.put(names["config"], config(version))
 	time.Sleep(settleTime)
 	old := l.store.copyNow()
-	revision := l.store.put(names["config"], config(8))
-	l.rec.add("the store has accepted version 8 at revision %d", revision)
+	revision := l.store.put(names["config"], config(version+1))
+	l.rec.add("the store has accepted version %d at revision %d", version+1, revision)
 	time.Sleep(copyAge)
 	if l.trouble {
 		l.store.leave()
@@ -49,10 +63,10 @@
 		l.rec.add("the store is back from a copy that is %s old, at revision %d", copyAge+awayTime, old.revision)
 	}
 	time.Sleep(writeWait)
-	newest := config(9)
+	newest := config(version + 2)
 	newest["tenants"] = newest["tenants"].([]any)[1:]
 	revision = l.store.put(names["config"], newest)
-	l.rec.add("the store has accepted version 9 at revision %d, without the key %.4s", revision, apiKey)
+	l.rec.add("the store has accepted version %d at revision %d, without the key %.4s", version+2, revision, apiKey)
 	time.Sleep(revokeBound + revokeMargin)
 	client := &http.Client{Transport: &http.Transport{}}
 	var broken []string
@@ -65,5 +79,5 @@
 			}
 		}
 	}
-	return broken, nil
+	return broken
 }
--- a/review/lab4/quarantine.go
+++ b/review/lab4/quarantine.go
@@ -12,7 +12,7 @@
 const (
 	recovery    = 12 * time.Second // recovery_s
 	downTime    = 1500 * time.Millisecond
-	silenceTime = 1100 * time.Millisecond
+	silenceTime = 1200 * time.Millisecond
 	silenceGap  = 2500 * time.Millisecond // from the beginning of one to that of the next
 	watchTime   = 15 * time.Second        // of the requests that count
 	leastServed = 0.25
