Review: the stand-ins take ports below the ephemeral ones

Cause: a run beside another one ended with 'a machine did not become ready': a channel of another process had taken the port of a machine that was down.

--- a/review/lab4/host.go
+++ b/review/lab4/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -35,42 +36,46 @@
 // takenPorts keeps freePort from giving a port twice.
 var takenPorts = make(map[int]bool)
 
-func freePort() (int, error) {
+// Ports are taken from below those that the system gives to channels of its own choice, so that
+// they stay free while a machine is down.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+func freePort() int {
 	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		port := listener.Addr().(*net.TCPAddr).Port
-		_ = listener.Close()
-		if !takenPorts[port] {
-			takenPorts[port] = true
-			return port, nil
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if takenPorts[port] || !isFree(port) {
+			continue
 		}
+		takenPorts[port] = true
+		return port
+	}
+}
+
+func isFree(port int) bool {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	if err != nil {
+		return false
 	}
+	_ = listener.Close()
+	return true
 }
 
 // freePair returns the first of two free ports that follow each other.
-func freePair() (int, error) {
+func freePair() int {
 	for {
-		port, err := freePort()
-		if err != nil {
-			return 0, err
-		}
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
-		if err != nil {
+		port := freePort()
+		if takenPorts[port+1] || !isFree(port+1) {
 			continue
 		}
-		_ = listener.Close()
 		takenPorts[port+1] = true
-		return port, nil
+		return port
 	}
 }
 
-func freeAddr() (string, error) {
-	port, err := freePort()
-	return fmt.Sprintf("127.0.0.1:%d", port), err
-}
+func freeAddr() string { return fmt.Sprintf("127.0.0.1:%d", freePort()) }
 
 // settings of a small deployment, as the pages show them.
 const settingsText = `node_name=%[1]s
@@ -143,14 +148,7 @@
 		zone := zones[i%len(zones)]
 		inZone[zone]++
 		h := &host{name: fmt.Sprintf("edge-%s-%d", zone, inZone[zone]), zone: zone}
-		var errs [4]error
-		h.front, errs[0] = freeAddr()
-		h.ready, errs[1] = freeAddr()
-		h.control, errs[2] = freeAddr()
-		h.internal, errs[3] = freePair()
-		if err := errors.Join(errs[:]...); err != nil {
-			return hosts, err
-		}
+		h.front, h.ready, h.control, h.internal = freeAddr(), freeAddr(), freeAddr(), freePair()
 		seeds = append(seeds, h.control)
 		hosts = append(hosts, h)
 	}
--- a/review/lab4/proxy.go
+++ b/review/lab4/proxy.go
@@ -19,11 +19,10 @@
 
 // newLink opens a link to an address.
 func newLink(to string) (*link, error) {
-	l := &link{to: to, addr: "127.0.0.1:0", conns: make(map[net.Conn]bool)}
+	l := &link{to: to, addr: freeAddr(), conns: make(map[net.Conn]bool)}
 	if err := l.heal(); err != nil {
 		return nil, err
 	}
-	l.addr = l.listener.Addr().String()
 	return l, nil
 }
 
