--- a/review/lab4/main.go
+++ b/review/lab4/main.go
@@ -91,6 +91,7 @@
 		l.engines = append(l.engines, &server{id: fmt.Sprintf("i-engine%d", i), service: "huvo11a", zone: zones[i%len(zones)], slots: 16, memory: 232000, work: 100 * time.Millisecond, events: 20, fleet: l.fleet})
 	}
 	for _, s := range append(append([]*server(nil), l.plain...), l.engines...) {
+		s.restarted = func(s *server) { l.store.put(names["servers"]+s.id, s.entry(s.addr, "ready")) }
 		if err := s.start(); err != nil {
 			return err
 		}
--- a/review/lab4/server.go
+++ b/review/lab4/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -29,14 +30,23 @@
 	fleet             *fleet
 	addr              string
 	leaving           atomic.Bool
-	turnAway          atomic.Int64                  // how many requests to turn away
-	retryAfter        string                        // named to them, in seconds
+	turnAway          atomic.Int64    // how many requests to turn away
+	retryAfter        string          // named to them, in seconds
+	poison            string          // a request with this body crashes the server
+	restarted         func(s *server) // is called as the server is back
+	born              int64
 	silence           atomic.Pointer[chan struct{}] // closed at the end of a silence; nil for none
 
+	http     *http.Server
+	crashing atomic.Bool
+
 	mu      sync.Mutex
 	tickets map[string]*ticket
 }
 
+// firstToken is how long a server reads a prompt of the middle size until it begins to write.
+const firstToken = 1200 * time.Millisecond
+
 // ticket is memory that is set aside.
 type ticket struct {
 	id      string
@@ -50,11 +60,24 @@
 	rec    *record
 	byAddr map[string]*server
 
-	mu     sync.Mutex
-	runs   []run
-	shared []string // tickets that two requests used at the same time
+	mu      sync.Mutex
+	runs    []run
+	shared  []string    // tickets that two requests used at the same time
+	crashes []time.Time // of servers
+}
+
+// crashTime returns when the n-th crash was.
+func (f *fleet) crashTime(n int) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.crashes) < n {
+		return time.Time{}, false
+	}
+	return f.crashes[n-1], true
 }
 
+var errNoCrash = errors.New("fewer servers crashed than the case needs")
+
 func (f *fleet) addRun(r run) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -68,11 +91,14 @@
 	return append([]run(nil), f.runs...)
 }
 
+// firstBorn is when servers have started, in Unix milliseconds.
+const firstBorn = 1790000000000
+
 // entry is the server's entry in the store.
 func (s *server) entry(address, state string) map[string]any {
 	return map[string]any{
 		"service": s.service, "address": address, "zone": s.zone, "version": "v1", "slots": s.slots,
-		"state": state, "cold_left_ms": 0, "born": 1790000000000, "seq": 4,
+		"state": state, "cold_left_ms": 0, "born": firstBorn + s.born, "seq": 4,
 	}
 }
 
@@ -85,10 +111,42 @@
 	s.addr = listener.Addr().String()
 	s.tickets = make(map[string]*ticket)
 	s.fleet.byAddr[s.addr] = s
-	go func() { _ = (&http.Server{Handler: s, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
+	s.serve(listener)
 	return nil
 }
 
+func (s *server) serve(listener net.Listener) {
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+	go func(h *http.Server) { _ = h.Serve(listener) }(s.http)
+}
+
+// crash ends all that the server does. It is back after some seconds, as another lifetime.
+func (s *server) crash(id string) {
+	if !s.crashing.CompareAndSwap(false, true) {
+		return
+	}
+	s.fleet.mu.Lock()
+	s.fleet.crashes = append(s.fleet.crashes, time.Now())
+	s.fleet.mu.Unlock()
+	s.fleet.rec.add("request %s crashes server %s", id, s.id)
+	_ = s.http.Close()
+	time.AfterFunc(crashTime, func() {
+		listener, err := net.Listen("tcp", s.addr)
+		if err != nil {
+			s.fleet.rec.add("server %s is not back: %v", s.id, err)
+			return
+		}
+		s.born += crashTime.Milliseconds()
+		s.serve(listener)
+		s.crashing.Store(false)
+		s.fleet.rec.add("server %s is back", s.id)
+		s.restarted(s)
+	})
+}
+
+// crashTime is how long a server is away that has crashed.
+const crashTime = 3 * time.Second
+
 // ServeHTTP serves requests, orders and questions.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if silence := s.silence.Load(); silence != nil {
@@ -117,7 +175,8 @@
 func (s *server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(names["attempt"])
 	w.Header().Set(names["attempt"], id)
-	if _, err := io.ReadAll(r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
 	end := make(chan struct{})
@@ -140,6 +199,11 @@
 		return
 	}
 	s.fleet.addRun(run{id: id, server: s.id, target: r.Method + " " + r.RequestURI, at: time.Now()})
+	if s.poison != "" && string(body) == s.poison {
+		time.Sleep(firstToken)
+		s.crash(id)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(names["seal"], "seal-of-"+s.id)
 	if s.memory > 0 {
 		s.stream(w, r, id, end)
